--- /dev/null
+++ b/hopmill/wire.py
@@ -0,0 +1,247 @@
+"""The simulator's binary frames and settings JSON, to and from the interface types. No decisions here."""
+
+from __future__ import annotations
+
+import json
+import struct
+from collections.abc import Iterator
+from typing import Any
+
+from hopmill import interface as i
+
+BATCH_HEADER = struct.Struct(">IIQI")
+REPLY_HEADER = struct.Struct(">III")
+EVENT_SIZE, ACTION_SIZE, ENTRY_SIZE = 40, 16, 24
+ALL_PEERS = 0xFFFFFFFF
+MAX_U32 = 0xFFFFFFFF
+
+RESULTS = {200: i.Result.OK, 502: i.Result.ERROR, 429: i.Result.FULL, 408: i.Result.TIMEOUT,
+           521: i.Result.CONNECT_FAILED, 520: i.Result.RESET, 444: i.Result.CANCELLED, 409: i.Result.MOOT}
+FORMS = (i.ListForm.DELTA, i.ListForm.FULL, i.ListForm.CACHED, i.ListForm.FAILED)
+STATES = (i.EndpointState.GONE, i.EndpointState.READY, i.EndpointState.DRAINING)
+EFFECTS = {"read_like": i.Effect.SAFE, "idempotency_key": i.Effect.KEYED, "non_idempotent": i.Effect.UNSAFE}
+
+_ARRIVAL = struct.Struct(">xIBIQQIfH")
+_HEALTH = struct.Struct(">xIHIHB4f")
+_DISCOVERY = struct.Struct(">xBQB")
+_REGISTER = struct.Struct(">xBII")
+_BEGIN = struct.Struct(">xQII")
+_ANSWER = struct.Struct(">xIBIHHIBIB4f")
+_PEER = struct.Struct(">xIII")
+_OPENED = struct.Struct(">xIIHBI")
+_ENTRY = struct.Struct(">IHHBfQBH")
+_U16, _U32, _U64 = struct.Struct(">xH"), struct.Struct(">xI"), struct.Struct(">xQ")
+
+
+class Malformed(ValueError):
+    """A frame that does not follow the wire's description."""
+
+
+class Begin:
+    """An instance begins with these settings and this seed."""
+
+    __slots__ = ("seed", "settings")
+
+    def __init__(self, seed: int, settings: i.Settings) -> None:
+        self.seed, self.settings = seed, settings
+
+
+class Shutdown:
+    """An instance was killed."""
+
+    __slots__ = ()
+
+
+def endpoint_id(address: int, port: int) -> int:
+    return address << 16 | port
+
+
+def _choice(table: Any, code: int, what: str) -> Any:
+    try:
+        return table[code]
+    except (KeyError, IndexError):
+        raise Malformed(f"unknown {what} {code}") from None
+
+
+def _slice(tail: memoryview, offset: int, size: int, what: str) -> memoryview:
+    if offset + size > len(tail):
+        raise Malformed(f"{what} lies outside the tail: offset {offset}, {size} bytes, tail {len(tail)}")
+    return tail[offset:offset + size]
+
+
+def read_settings(text: bytes | memoryview | str) -> i.Settings:
+    """The settings JSON as Settings; unknown keys are ignored, a needed one that lacks is named."""
+    try:
+        raw = json.loads(bytes(text) if isinstance(text, memoryview) else text)
+    except ValueError as error:
+        raise Malformed(f"settings are not JSON: {error}") from None
+    if not isinstance(raw, dict):
+        raise Malformed("settings are not a JSON object")
+    try:
+        return _settings(raw)
+    except KeyError as error:
+        raise Malformed(f"settings lack the key {error.args[0]!r}") from None
+    except (TypeError, AttributeError) as error:
+        raise Malformed(f"settings are of the wrong form: {error}") from None
+
+
+def _settings(raw: dict[str, Any]) -> i.Settings:
+    family, limits, contract = raw.get("familyInfo", {}), raw["policyLimits"], raw["contract"]
+    classes = tuple(
+        i.MessageClass(
+            name=c.get("name", str(k)), aim_us=int(c["goalTimeUs"]), deadline_us=int(c["deadlineUs"]),
+            effect=_choice(EFFECTS, c["idempotency"], "classes.idempotency"),
+            worth=float(c.get("worth", 1.0)), late_share=float(c.get("lateShare", 0.0)),
+            key_scope=c.get("keyScope", "all"),
+            key_window_us=int(c.get("keyTtlUs", 0)), ordered=bool(c.get("sequential", False)))
+        for k, c in enumerate(raw["classes"]))
+    names = raw.get("shapes") or ["any"]
+    apart, batch = family.get("kindApart", []), family.get("kindBatch", [])
+    kinds = tuple(
+        i.Kind(n, bool(apart[k]) if k < len(apart) else False, int(batch[k]) if k < len(batch) else 1)
+        for k, n in enumerate(names))
+    tenants = tuple(
+        i.Tenant(t.get("name", ""), float(t.get("fraction", 0.0)), float(t.get("quotaPerS", 0.0)))
+        for t in raw.get("tenants", []))
+    return i.Settings(
+        classes=classes, kinds=kinds, tenants=tenants, slots=int(family["maxCalls"]),
+        max_held=int(limits["maxOpen"]), couriers=int(raw.get("groupSize", 1)), me=int(raw.get("me", 0)),
+        max_attempts=int(limits["attemptsCap"]), second_copies=bool(limits.get("secondCopies", False)),
+        may_probe=bool(limits.get("probing", False)), may_cancel=bool(limits.get("mayCancel", False)),
+        peer_notes=bool(limits.get("peers", False)), tick_us=int(raw.get("stepUs", 1000)),
+        max_retry_after_us=int(limits.get("maxRetryAfterUs", 0)) if limits.get("retryAfter", False) else 0,
+        connection_idle_us=int(limits["connIdleUs"]), connect_timeout_us=int(limits["connectTimeoutUs"]),
+        drain_grace_us=int(contract["drainGraceUs"]), cold_share=float(contract["coldShare"]),
+        cold_us=int(contract["coldUs"]), fall_multiple=float(contract["fallMultiple"]),
+        fall_us=int(contract["fallUs"]), key_rest_us=int(contract.get("keyRestUs", 0)),
+        answer_slack_us=int(contract.get("answerSlackUs", 0)),
+        list_on_request=raw.get("membershipMode") == "on_request",
+        rates_listed=raw.get("weightSource") in ("nominal", "rough"),
+        over_share_worth=float(raw.get("overShareWorth", 1.0)), late_halves=family.get("late") == "halves",
+        clients_mark_retries=bool(raw.get("clients", {}).get("marksRetry", False)),
+        refused_price=float(family.get("refusedPrice", 0.0)),
+        zone_fees=tuple(float(f) for f in family.get("carriage", [])))
+
+
+def read_entries(data: memoryview) -> tuple[i.ListEntry, ...]:
+    return tuple(
+        i.ListEntry(endpoint_id(address, port), dest, _choice(STATES, state, "endpoint condition"), rate,
+                    kind, zone)
+        for address, port, dest, state, rate, _, kind, zone in _ENTRY.iter_unpack(data))
+
+
+def split_header(header: bytes) -> tuple[int, int, int, int]:
+    """(sequence number, body length, clock, record count) of a batch."""
+    if len(header) != BATCH_HEADER.size:
+        raise Malformed(f"short batch header: {len(header)} of {BATCH_HEADER.size} bytes")
+    return BATCH_HEADER.unpack(header)
+
+
+def read_events(body: bytes, count: int,
+                pages: dict[int, tuple[i.ListEntry, ...]]) -> Iterator[tuple[int, Any]]:
+    """(instance, event) for each record in order; numbered lists are kept in `pages` across batches."""
+    if count * EVENT_SIZE > len(body):
+        raise Malformed(f"{count} records do not fit a body of {len(body)} bytes")
+    view = memoryview(body)
+    tail, instance = view[count * EVENT_SIZE:], None
+    for at in range(0, count * EVENT_SIZE, EVENT_SIZE):
+        code = view[at]
+        if code == 1:
+            (instance,) = _U16.unpack_from(view, at)
+            continue
+        if code == 6:
+            page, offset, n = _REGISTER.unpack_from(view, at)
+            pages[page] = read_entries(_slice(tail, offset, n * ENTRY_SIZE, "a list"))
+            continue
+        if instance is None:
+            raise Malformed(f"record {code} before any instance was named")
+        yield instance, _event(code, view, at, tail, pages)
+
+
+def _event(code: int, view: memoryview, at: int, tail: memoryview, pages: dict[int, Any]) -> Any:
+    if code == 2:
+        ident, cls, team, key, until, _, dest, flags = _ARRIVAL.unpack_from(view, at)
+        return i.MessageArrived(ident, cls, int(dest), until, team, key, bool(flags & 2))
+    if code == 3:
+        latency, result, address, port, *_ = _HEALTH.unpack_from(view, at)
+        return i.ProbeEnded(endpoint_id(address, port), _choice(RESULTS, result, "result"), latency)
+    if code == 4:
+        return i.TimerDue(_U64.unpack_from(view, at)[0])
+    if code == 5:
+        page, _, form = _DISCOVERY.unpack_from(view, at)
+        kind = _choice(FORMS, form, "list form")
+        if kind is i.ListForm.FAILED:
+            return i.EndpointsListed(kind)
+        if page not in pages:
+            raise Malformed(f"list {page} was never declared")
+        return i.EndpointsListed(kind, pages[page])
+    if code == 7:
+        seed, offset, size = _BEGIN.unpack_from(view, at)
+        return Begin(seed, read_settings(_slice(tail, offset, size, "the settings")))
+    if code == 8:
+        ident, attempt, address, port, result, latency, last, hold_ms, *_ = _ANSWER.unpack_from(view, at)
+        kind = _choice(RESULTS, result, "result")
+        wait = hold_ms * 1000 if kind is i.Result.FULL else 0
+        return i.AttemptEnded(ident, attempt, endpoint_id(address, port), kind, latency, bool(last), wait)
+    if code == 9:
+        return Shutdown()
+    if code == 10:
+        return i.MessageGone(_U32.unpack_from(view, at)[0])
+    if code == 11:
+        author, offset, size = _PEER.unpack_from(view, at)
+        return i.PeerNote(author, bytes(_slice(tail, offset, size, "a note")))
+    if code == 12:
+        ident, address, port, attempt, _ = _OPENED.unpack_from(view, at)
+        return i.AttemptAnswering(ident, attempt, endpoint_id(address, port))
+    raise Malformed(f"unknown event code {code}")
+
+
+class Reply:
+    """Collects the actions of one batch and packs them as a frame."""
+
+    def __init__(self) -> None:
+        self.records: list[bytes] = []
+        self.tail = bytearray()
+
+    def _add(self, form: str, *values: Any) -> None:
+        self.records.append(struct.pack(">" + form, *values).ljust(ACTION_SIZE, b"\0"))
+
+    def _place(self, data: bytes) -> tuple[int, int]:
+        offset = len(self.tail)
+        self.tail += data
+        return offset, len(data)
+
+    def instance(self, number: int) -> None:
+        self._add("BH", 13, number)
+
+    def fault(self, text: str) -> None:
+        self._add("BII", 10, *self._place(text.encode()))
+
+    def action(self, a: i.Action) -> None:
+        if isinstance(a, i.Send):
+            self._add("BIIHI", 1, a.message, a.endpoint >> 16, a.endpoint & 0xFFFF,
+                      min(a.timeout_us, MAX_U32))
+        elif isinstance(a, i.SetTimer):
+            self._add("BIQ", 5, min(a.delay_us, MAX_U32), a.token)
+        elif isinstance(a, i.Refuse):
+            self._add("BII", 2, a.message, min(a.retry_after_us, MAX_U32))
+        elif isinstance(a, i.Fail):
+            self._add("BI", 3, a.message)
+        elif isinstance(a, i.Cancel):
+            self._add("BIB", 4, a.message, a.attempt)
+        elif isinstance(a, i.Probe):
+            self._add("BIH", 6, a.endpoint >> 16, a.endpoint & 0xFFFF)
+        elif isinstance(a, i.CloseIdle):
+            self._add("BIH", 7, a.endpoint >> 16, a.endpoint & 0xFFFF)
+        elif isinstance(a, i.SendNote):
+            self._add("BIII", 8, ALL_PEERS if a.peer is None else a.peer, *self._place(a.data))
+        elif isinstance(a, i.Log):
+            self._add("BII", 9, *self._place(a.text.encode()))
+        elif isinstance(a, i.Subscribe):
+            self._add("BB", 11, int(a.on))
+        else:
+            self._add("B", 12)
+
+    def pack(self, sequence: int) -> bytes:
+        body = b"".join(self.records) + bytes(self.tail)
+        return REPLY_HEADER.pack(sequence, len(self.records), len(body)) + body
--- /dev/null
+++ b/tests/test_brain.py
@@ -0,0 +1,292 @@
+"""The module's decisions, one small test each; no bench needed."""
+
+import pytest
+
+from hopmill.brain import Courier
+from hopmill.interface import (
+    AttemptEnded,
+    Effect,
+    EndpointsListed,
+    EndpointState,
+    Fail,
+    Kind,
+    ListEntry,
+    ListForm,
+    MessageArrived,
+    MessageClass,
+    Refuse,
+    Result,
+    Send,
+    Settings,
+)
+
+S = 1_000_000
+CLASSES = (
+    MessageClass("safe", aim_us=S, deadline_us=10 * S),
+    MessageClass("keyed", aim_us=S, deadline_us=10 * S, effect=Effect.KEYED, key_window_us=5 * S),
+    MessageClass("unsafe", aim_us=S, deadline_us=10 * S, effect=Effect.UNSAFE),
+)
+
+
+class Host:
+    """Feeds a courier and keeps what it did."""
+
+    def __init__(self, endpoints=1, rate=0.0, **changes):
+        given = {"classes": CLASSES, "slots": 8, "max_held": 100, "max_attempts": 12, "kinds": (Kind("k"),),
+                 "rates_listed": rate > 0, "max_retry_after_us": 2 * S, "tick_us": 5000}
+        given.update(changes)
+        self.courier = Courier(Settings(**given), 7)
+        self.now, self.next, self.tries = 1000 * S, 0, {}
+        self.do(EndpointsListed(ListForm.CACHED, tuple(
+            ListEntry(100 + n, 1, EndpointState.READY, rate) for n in range(endpoints))))
+
+    def do(self, *events, after=0):
+        self.now += after
+        acts = self.courier.handle(self.now, list(events))
+        for a in acts:
+            if isinstance(a, Send):
+                self.tries[a.message] = self.tries.get(a.message, -1) + 1
+        return acts
+
+    def arrive(self, cls=0, dest=1, life=None, after=0):
+        self.next += 1
+        until = self.now + after + (life or CLASSES[cls].deadline_us)
+        return self.do(MessageArrived(self.next, cls, dest, until), after=after)
+
+    def end(self, message, result, latency=100_000, after=100_000, endpoint=100, told=0):
+        return self.do(AttemptEnded(message, self.tries[message], endpoint, result, latency,
+                                    result is Result.OK, told), after=after)
+
+    def idle(self, seconds, step=0.05):
+        acts = []
+        for _ in range(round(seconds / step)):
+            acts += self.do(after=int(step * S))
+        return acts
+
+
+def of(kind, acts):
+    return [a for a in acts if isinstance(a, kind)]
+
+
+def test_first_message_goes_at_once():
+    assert [a.endpoint for a in of(Send, Host().arrive())] == [100]
+
+
+def test_window_is_one_wide_at_start_and_grows_by_success():
+    h = Host()
+    assert len(of(Send, h.arrive())) == 1
+    assert not of(Send, h.arrive()) and not of(Send, h.arrive())
+    assert len(of(Send, h.end(1, Result.OK))) == 2
+
+
+def test_overload_ends_the_message_and_passes_the_wait_on():
+    h = Host()
+    h.arrive(cls=2)
+    acts = h.end(1, Result.FULL, told=S)
+    assert of(Refuse, acts) == [Refuse(1, S)]
+
+
+def test_told_wait_is_kept_for_every_message():
+    h = Host()
+    h.arrive()
+    h.end(1, Result.FULL, told=S)
+    sent = of(Send, h.arrive() + h.idle(0.95))
+    assert not sent
+    assert of(Send, h.idle(0.2))
+
+
+def test_failed_call_is_tried_again_three_times_at_most():
+    h = Host(endpoints=1)
+    sends = of(Send, h.arrive())
+    for _ in range(2):
+        acts = h.end(1, Result.ERROR) + h.idle(0.5)
+        sends += of(Send, acts)
+        assert not of(Refuse, acts)
+    assert len(sends) == 3
+    assert of(Refuse, h.end(1, Result.ERROR))
+
+
+def test_unsafe_is_not_repeated_after_it_may_have_run():
+    h = Host()
+    h.arrive(cls=2)
+    acts = h.end(1, Result.ERROR) + h.idle(3)
+    assert of(Fail, acts) == [Fail(1)] and not of(Send, acts) and not of(Refuse, acts)
+
+
+def test_unsafe_is_repeated_after_a_failed_connection():
+    h = Host()
+    h.arrive(cls=2)
+    assert of(Send, h.end(1, Result.CONNECT_FAILED) + h.idle(1))
+
+
+def test_nothing_to_a_draining_endpoint():
+    h = Host(endpoints=2)
+    h.do(EndpointsListed(ListForm.DELTA, (ListEntry(100, 1, EndpointState.DRAINING),)))
+    assert [a.endpoint for a in of(Send, h.arrive())] == [101]
+
+
+def test_every_message_is_answered_before_its_time_is_up():
+    h = Host(endpoints=0)
+    h.arrive(cls=2, life=S)
+    acts = h.idle(0.98, step=0.005)
+    assert not of(Refuse, acts)
+    assert of(Refuse, h.idle(0.02, step=0.005)) == [Refuse(1, 0)]
+
+
+def warm(h, n=12):
+    for _ in range(n):
+        h.arrive(after=300_000)
+        h.end(h.next, Result.OK)
+
+
+def test_unsafe_call_to_a_hung_endpoint_does_not_hold_its_slot_to_the_deadline():
+    h = Host()
+    warm(h)
+    (send,) = of(Send, h.arrive(cls=2))
+    assert send.timeout_us < CLASSES[2].deadline_us / 2
+
+
+def test_a_call_lost_while_others_are_answered_does_not_open_the_circuit():
+    h = Host()
+    warm(h)
+    for _ in range(5):
+        h.arrive()
+        lost = h.next
+        h.arrive()
+        h.end(h.next, Result.OK)
+        h.end(lost, Result.TIMEOUT)
+    h.idle(1)
+    (ep,) = h.courier.endpoints.values()
+    assert not ep.c.open and ep.c.ramp_from < 0
+
+
+def serve(h, seconds, result, per_s=10):
+    """Messages come and each attempt ends with the result a turn later; returns the sends."""
+    sends, pending = 0, []
+    for k in range(round(seconds * 20)):
+        acts = []
+        for a in pending:
+            acts += h.end(a.message, result, latency=50_000, after=0)
+        acts += h.arrive(life=S, after=50_000) if k * per_s % 20 < per_s else h.do(after=50_000)
+        pending = of(Send, acts)
+        sends += len(pending)
+    for a in pending:
+        h.end(a.message, result, latency=50_000, after=0)
+    return sends
+
+
+@pytest.mark.parametrize("how", [Result.CONNECT_FAILED, Result.TIMEOUT, Result.RESET, Result.FULL])
+def test_recovery_is_slow_at_first_and_full_after_the_cold_time(how):
+    h = Host(rate=8.0, cold_share=0.1, cold_us=10 * S, fall_multiple=2.5)
+    serve(h, 5, Result.OK)
+    down = serve(h, 6, how)
+    assert h.courier.endpoints[100].c.open and down < 20
+    first, _, last = serve(h, 4, Result.OK), serve(h, 8, Result.OK), serve(h, 4, Result.OK)
+    # the budget of the contract: the multiple of the present share, which grows from 0.1 to 0.46 in that time
+    assert 0 < first <= 2.5 * (0.1 + 0.46) / 2 * 8 * 4 + 1
+    assert last > 1.3 * first
+
+
+def test_when_slots_are_short_a_lane_that_holds_them_long_gets_what_is_left():
+    h = Host(slots=2)
+    h.do(EndpointsListed(ListForm.DELTA, (ListEntry(200, 2, EndpointState.READY),)))
+    warm(h)
+    for _ in range(6):  # destination 2 takes ten times as long
+        h.arrive(dest=2, after=300_000)
+        h.end(h.next, Result.OK, latency=1_000_000, after=1_000_000, endpoint=200)
+    h.arrive()
+    first = h.next
+    h.arrive(dest=2)
+    held = h.next
+    for dest in (2, 1, 2, 1):
+        h.arrive(dest=dest)
+    h.idle(0.9, step=0.3)
+    acts = h.end(first, Result.OK, after=0)
+    assert held and [a.endpoint for a in of(Send, acts)] == [100]
+
+
+def test_each_wait_told_to_a_batched_call_is_kept():
+    h = Host(kinds=(Kind("k", batch=3),))
+    warm(h)
+    h.do(EndpointsListed(ListForm.DELTA, (ListEntry(100, 1, EndpointState.DRAINING),)))
+    h.arrive()
+    h.arrive()
+    acts = h.do(EndpointsListed(ListForm.DELTA, (ListEntry(100, 1, EndpointState.READY),)), after=S)
+    first, second = of(Send, acts)
+    h.end(first.message, Result.FULL, told=0, after=0)
+    h.end(second.message, Result.FULL, told=2 * S, after=0)
+    assert not of(Send, h.arrive() + h.idle(1.95))
+    assert of(Send, h.idle(0.2))
+
+
+def test_a_destination_that_fails_half_its_calls_still_gets_a_cold_pace():
+    h = Host(rate=8.0, cold_share=0.2, fall_multiple=2.5)
+    serve(h, 5, Result.OK)
+    sent = serve(h, 10, Result.ERROR)
+    # more than trials with growing gaps would send, and inside the contract's budget for a cold destination
+    assert 2 * 10 < sent <= 2.5 * 0.2 * 8 * 10 + 6
+    assert not h.courier.endpoints[100].c.open
+
+
+def test_time_outs_are_short_where_many_calls_are_lost():
+    h = Host(slots=40)
+    warm(h, 40)
+    calm = h.courier.loss
+    for _ in range(10):
+        sends = of(Send, h.arrive(after=300_000) + h.arrive())
+        for a in sends[1:]:
+            h.end(a.message, Result.OK)
+        h.end(sends[0].message, Result.TIMEOUT)
+    lane = h.courier.endpoints[100].lane
+    lane.mean, lane.dev = 100_000.0, 75_000.0
+    lossy = h.courier._timeout(lane)
+    assert h.courier.loss > 10 * calm
+    h.courier.loss = calm
+    assert lossy < 0.7 * h.courier._timeout(lane)
+
+
+def test_pace_grows_slowly_near_the_rate_that_was_refused_last():
+    def growth(refused):
+        h = Host(rate=4.0, couriers=2)
+        serve(h, 3, Result.OK)
+        if refused:
+            for a in of(Send, h.arrive() + h.idle(1)):
+                h.end(a.message, Result.FULL)
+        lane = h.courier.endpoints[100].lane
+        lane.brink = lane.rate = 2.0
+        serve(h, 3, Result.OK)
+        return lane.rate - 2.0
+    assert 0 < growth(True) < 0.7 * growth(False)
+
+
+def test_a_full_message_waits_here_where_no_client_comes_again():
+    h = Host(clients_mark_retries=True, classes=CLASSES)
+    h.courier.unreturned = 20
+    h.arrive()
+    acts = h.end(1, Result.FULL, told=S)
+    assert not of(Refuse, acts) and not of(Send, acts + h.idle(0.95)) and of(Send, h.idle(4))
+    until = h.now + 10 * S
+    h.do(MessageArrived(99, 0, 1, until, resubmitted=True))
+    assert of(Refuse, h.end(1, Result.FULL))
+
+
+def test_a_bucket_is_smaller_where_refused_calls_are_priced():
+    def at_once(price):
+        h = Host(rate=10.0, slots=40, refused_price=price)
+        h.courier.endpoints[100].lane.window = 20.0
+        h.idle(2)
+        return sum(len(of(Send, h.arrive())) for _ in range(12))
+    assert 1 < at_once(0.1) < at_once(0.0) < 12
+
+
+def test_an_unsafe_message_waits_while_calls_there_fail_in_ways_that_may_have_run():
+    h = Host(cold_us=10 * S)
+    warm(h)
+    h.arrive()
+    h.end(h.next, Result.ERROR, after=50_000)
+    h.end(h.next, Result.ERROR, after=500_000) if of(Send, h.idle(0.3)) else None
+    h.courier.messages.clear()
+    h.courier.dests[1].queue.clear()
+    early = of(Send, h.arrive(cls=2) + h.idle(1))
+    late = of(Send, h.idle(6))
+    assert not [a for a in early if a.message == h.next] and [a for a in late if a.message == h.next]
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,216 @@
+"""Large fleets: what hundreds of small couriers do alike must sum to what a destination bears."""
+
+import pytest
+from test_brain import CLASSES, Host, S, of
+
+from hopmill.brain import Courier
+from hopmill.interface import (
+    AttemptEnded, CloseIdle, EndpointsListed, EndpointState, Fail, Kind, ListEntry, ListForm, MessageArrived,
+    Refuse, Result, Send, Settings)
+
+
+def fleet(**changes):
+    return Host(**{"couriers": 100, "slots": 4, **changes})
+
+
+def entry(endpoint, dest=1, state=EndpointState.READY, rate=0.0):
+    return ListEntry(endpoint, dest, state, rate)
+
+
+def test_a_large_fleet_keeps_no_idle_connections_and_a_small_one_does():
+    for h, closes in ((fleet(), 1), (Host(), 0)):
+        h.arrive()
+        assert len(of(CloseIdle, h.end(1, Result.OK))) == closes
+
+
+def test_idle_connections_that_die_unseen_are_closed_before_use_after_two_lost_calls():
+    h = Host()
+
+    def call(idle, result):
+        h.courier.endpoints[100].idle = [h.now - idle]
+        c = h.courier.endpoints[100].c
+        c.open, c.ramp_from, c.trial, c.bad, h.courier.endpoints[100].dirty = False, -1, None, 0.0, 0.0
+        acts = h.arrive(cls=2)  # unsafe: tried once
+        h.end(h.next, result)
+        h.idle(1)
+        return len(of(CloseIdle, acts))
+
+    assert not call(6 * S, Result.OK)
+    assert not call(4 * S, Result.RESET) and h.courier.keep == 10 * S  # one lost call may be chance
+    assert not call(4 * S, Result.RESET) and h.courier.keep < 4 * S
+    trusted = h.courier.keep
+    assert call(4 * S, Result.OK) == 1
+    assert not call(trusted // 2, Result.OK) and h.courier.keep > trusted
+
+
+def test_a_part_of_a_listed_rate_paces_a_large_fleet_only_after_a_refusal():
+    h = fleet(rate=10.0)  # a part of 0.1 a second
+    for _ in range(5):
+        assert of(Send, h.arrive(after=100_000))
+        h.end(h.next, Result.OK)
+    h.arrive()
+    h.end(h.next, Result.FULL)
+    assert h.courier.endpoints[100].lane.rate > 0
+    sends = 0
+    for _ in range(40):
+        sends += len(of(Send, h.arrive(life=30 * S, after=250_000)))
+        for key in list(h.courier.calls):
+            h.end(key[0], Result.OK, after=0)
+    assert sends <= 0.1 * 10 * 2 + 1
+
+
+@pytest.mark.parametrize("how", [Result.CONNECT_FAILED, Result.ERROR, Result.RESET, Result.TIMEOUT])
+def test_what_a_hundred_couriers_send_into_an_outage_sums_to_the_fall_budget(how):
+    rate, cold, multiple, couriers = 40.0, 0.15, 2.5, 100
+    given = dict(classes=CLASSES, slots=4, max_held=100, max_attempts=12, rates_listed=True,
+                 couriers=couriers, cold_share=cold, cold_us=12 * S, fall_multiple=multiple, tick_us=5000)
+    all_ = [Courier(Settings(me=k, **given), k) for k in range(couriers)]
+    told = EndpointsListed(ListForm.CACHED, (entry(100, rate=rate),))
+    calls, sent, now, ident = [], [], 1000 * S, 0
+    for c in all_:
+        c.handle(now, [told])
+    for step in range(4000):  # 40 s, 40 messages a second, each to the next courier by a fixed shuffle
+        now += 10_000
+        inbox = {}
+        if step % 2 == 0 and step % 5:
+            ident += 1
+            inbox[ident * 37 % couriers] = [MessageArrived(ident, 0, 1, now + 10 * S)]
+        for k, event in [x for x in calls if x[0][0] <= now]:
+            inbox.setdefault(k[1], []).append(event)
+        calls = [x for x in calls if x[0][0] > now]
+        for k in range(couriers) if step % 20 == 0 else sorted(inbox):
+            for a in all_[k].handle(now, inbox.get(k, [])):
+                if isinstance(a, Send):
+                    sent.append((now, all_[k].endpoints[100].c.bad > 0))
+                    tries = all_[k].messages[a.message].tries - 1
+                    calls.append(((now + 50_000, k), ended(a.message, tries, how)))
+    informed = sum(1 for at, seen in sent if seen and at > 1000 * S + 20 * S) / 20
+    assert 0 < informed <= multiple * cold * rate
+
+
+def ended(message, attempt, how):
+    return AttemptEnded(message, attempt, 100, how, 50_000, False, 0)
+
+
+def test_a_single_quick_failure_is_tried_again_and_forgiven():
+    h = fleet(rate=10.0)
+    h.arrive()
+    acts = h.end(1, Result.CONNECT_FAILED, latency=20_000)
+    assert h.courier.endpoints[100].c.open  # others wait for their share
+    assert not [a for a in of(Send, acts + h.arrive() + h.arrive()) if a.message > 1]
+    assert of(Send, acts + h.idle(0.5))
+    h.end(1, Result.OK)
+    c = h.courier.endpoints[100].c
+    assert not c.open and c.ramp_from < 0
+
+
+def test_a_real_outage_ends_in_a_slow_start_for_all_endpoints_of_the_lane():
+    h = fleet(endpoints=2)
+    h.arrive()
+    for _ in range(3):
+        h.end(1, Result.CONNECT_FAILED, latency=20_000, endpoint=100)
+        h.idle(1)
+    one, other = (h.courier.endpoints[100 + k] for k in (0, 1))
+    assert one.c is other.c and one.c.open
+    for _ in range(20):
+        sends = of(Send, h.arrive(after=100_000))
+        if sends:
+            h.end(sends[0].message, Result.OK)
+            break
+    assert not one.c.open and one.c.ramp_from >= 0
+
+
+def test_credit_is_not_saved_up_while_told_to_wait():
+    starts = 0
+    for seed in range(40):
+        h = fleet(rate=10.0)
+        h.courier.random.seed(seed)
+        h.arrive()
+        h.end(1, Result.FULL, told=8 * S)  # so long a wait is a shut destination's
+        acts = []
+        for _ in range(8):
+            acts += h.arrive(after=S * 95 // 100)
+        assert not of(Send, acts)
+        starts += len(of(Send, h.idle(2)))  # all couriers' waits end together
+    assert not starts
+
+
+def test_couriers_spread_over_routes_in_step_with_their_rates():
+    chosen = {}
+    for seed in range(200):
+        c = Courier(Settings(classes=CLASSES, slots=4, max_held=50, couriers=100, rates_listed=True,
+                             kinds=(Kind("k", routes_apart=True),), zone_fees=(0.1,)), seed)
+        acts = c.handle(S, [EndpointsListed(ListForm.CACHED, (entry(100, rate=9.0), entry(101, rate=3.0))),
+                            MessageArrived(1, 0, 1, 9 * S)])
+        e = of(Send, acts)[0].endpoint
+        chosen[e] = chosen.get(e, 0) + 1
+    assert 130 < chosen[100] < 170
+
+
+def test_where_calls_are_refused_a_share_of_new_messages_is_refused_unsent():
+    h = fleet()  # no rate is listed
+    for _ in range(6):
+        for a in of(Send, h.arrive(after=3 * S)):
+            h.end(a.message, Result.FULL)
+    unsent = 0
+    for _ in range(30):
+        acts = h.arrive(after=S)
+        unsent += len(of(Refuse, acts))
+        for a in of(Send, acts):
+            h.end(a.message, Result.FULL)
+    assert 15 < unsent < 30
+    for _ in range(60):
+        for a in of(Send, h.arrive(after=S) + h.idle(0.2)):
+            h.end(a.message, Result.OK)
+    assert not sum(len(of(Refuse, h.arrive(after=S))) for _ in range(10))
+
+
+def test_what_cannot_be_reached_in_time_is_handed_back_at_once():
+    h = fleet(rate=5.0)  # a part of 0.05 a second: the next call in up to 20 s
+    h.arrive()
+    h.end(h.next, Result.FULL)
+    refused = sum(len(of(Refuse, h.arrive(life=4 * S, after=50_000))) for _ in range(5))
+    assert refused >= 4
+
+
+def test_room_is_made_by_handing_back_what_waits_longest_for_one_destination():
+    h = Host(max_held=10)
+    h.do(EndpointsListed(ListForm.DELTA, (entry(100, state=EndpointState.DRAINING), entry(200, dest=2))))
+    acts = []
+    for _ in range(12):
+        acts += h.arrive()
+    assert len(h.courier.messages) <= 8 and of(Refuse, acts)
+    assert of(Send, h.arrive(dest=2))
+
+
+@pytest.mark.parametrize("apart", [False, True])
+def test_replaced_endpoints_leave_nothing_behind(apart):
+    h = fleet(kinds=(Kind("k", routes_apart=apart),))
+    for n in range(3000):
+        h.do(EndpointsListed(ListForm.DELTA, (entry(101 + n), entry(100 + n, state=EndpointState.GONE))))
+    c = h.courier
+    assert len(c.endpoints) == 1 and len(c.dests[1].lanes) <= 2
+    assert sum(len(x.endpoints) for x in c.dests[1].lanes) == 1
+    assert of(Send, h.arrive())[0].endpoint == 3100
+
+
+def test_an_endpoint_that_comes_back_or_moves_starts_anew():
+    h = Host()
+    h.do(EndpointsListed(ListForm.DELTA, (entry(100, state=EndpointState.GONE),)))
+    assert not of(Send, h.arrive())
+    assert of(Send, h.do(EndpointsListed(ListForm.DELTA, (entry(100),)), after=S))
+    h.end(h.next, Result.OK)
+    h.do(EndpointsListed(ListForm.DELTA, (entry(100, dest=2),)))
+    assert not of(Send, h.arrive(dest=1)) and of(Send, h.arrive(dest=2))
+
+
+def test_a_message_for_a_destination_without_endpoints_is_refused_in_time():
+    h = Host()
+    h.arrive(dest=9, life=2 * S)
+    assert of(Refuse, h.idle(2.1)) and not of(Fail, h.idle(0.1)) and not h.courier.messages
+
+
+@pytest.mark.parametrize("field, change", [("couriers", {"couriers": 0}), ("me", {"couriers": 2, "me": 2})])
+def test_impossible_fleets_are_named(field, change):
+    with pytest.raises(ValueError, match=field):
+        Settings(**{"classes": CLASSES, "slots": 2, "max_held": 4, **change})
