--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -12,9 +12,9 @@
 from collections.abc import Iterable
 
 from hopmill.interface import (
-    Action, AttemptAnswering, AttemptEnded, CloseIdle, Effect, EndpointsListed, EndpointState, Event, Fail,
-    ListEntry, ListForm, Log, MessageArrived, MessageClass, MessageGone, Refuse, Result, Send,
-    SetTimer, Settings, Subscribe)
+    Action, AttemptAnswering, AttemptEnded, CloseIdle, Closing, Effect, EndpointsListed, EndpointState, Event,
+    Fail, ListEntry, ListForm, Log, MessageArrived, MessageClass, MessageGone, Refuse, Result, Send, SetTimer,
+    Settings, Subscribe)
 
 # The design's own figures.
 BASE_US = 100_000  # first ceiling of the jittered wait (the note's default)
@@ -93,9 +93,8 @@
         self.rate = self.brink = 0.0  # calls a second that it is paced to, 0 = not; pace last refused
         self.tokens, self.stamp = 1.0, 0
         self.wait_until = self.cut_at = 0
-        self.fulls = 0
         self.refused = 0.0  # share of calls refused as full
-        self.window, self.out = 1.0, 0
+        self.window, self.out, self.fulls = 1.0, 0, 0
         self.mean = self.dev = 0.0  # latency
         self.hold = 1e5  # time that a call takes a slot, failed ones included
         self.seen, self.seen_at = 0.0, 0  # successes a second
@@ -115,8 +114,8 @@
         self.key = event.order_key if cls.ordered else 0
         self.until, self.born = event.valid_until_us, event.valid_until_us - cls.deadline_us
         self.dest: Destination
-        self.tries = self.out = 0
-        self.ran_at, self.ran_zone = -1, 0  # when and where the first attempt that may have run was sent
+        self.tries, self.out = event.tries, 0
+        self.ran_at, self.ran_zone = event.ran_at_us, 0  # when and where the first that may have run was sent
         self.ready_at = now
         self.last: Endpoint | None = None
         self.closed = self.streaming = self.quick = False
@@ -136,7 +135,7 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.s, self.random = settings, random.Random(seed)
-        self.now, self.start = 0, -1
+        self.now, self.start, self.closing = 0, -1, math.inf  # closing: no call may last past it
         self.dests: dict[int, Destination] = {}
         self.endpoints: dict[int, Endpoint] = {}
         self.messages: dict[int, Message] = {}
@@ -158,8 +157,7 @@
         # and few would serve again in time: a large fleet keeps none.
         self.keep = 0 if self.thin else settings.connection_idle_us
         self.refused = [0.0] * len(settings.kinds)  # as the lanes', over all calls to a kind
-        self.reaped = 0  # calls lost on idle connections since one was answered
-        self.unreturned = 0  # refusals since a client last came again
+        self.reaped = self.unreturned = 0  # calls lost on idle connections; refusals since one came again
         self.hold = 1e5  # as the lanes', over all calls
         self.loss = LOSS  # share of calls that are never answered though others are
         self.actions: list[Action] = []
@@ -179,9 +177,10 @@
                 self._ended(e)
             elif isinstance(e, EndpointsListed):
                 self._listed(e)
-            elif isinstance(e, MessageGone):
-                if m := self.messages.get(e.message):
-                    self._close(m)
+            elif isinstance(e, MessageGone) and (m := self.messages.get(e.message)):
+                self._close(m)
+            elif isinstance(e, Closing):
+                self.closing = e.until_us
             elif isinstance(e, AttemptAnswering) and (m := self.messages.get(e.message)):
                 m.streaming = True
         while self.timers and self.timers[0] <= now_us:
@@ -253,11 +252,20 @@
         dest.queue.append(m)
         if m.key:
             self.keys.setdefault(m.key, []).append(m)
-        if self.thin and self.random.random() < self._refusal(dest, m.until - self.now):
+        if self.thin and self.random.random() < self._refusal(dest, m.until - self.now) or self._spent(m):
             self._finish(m, self.s.max_retry_after_us)
             return
         heapq.heappush(self.expiries, (m.until - self.margin, m.id))
 
+    def _spent(self, m: Message) -> bool:
+        """Restored with no attempt left: its final answer is due at once."""
+        end = m.ran_at + (m.cls.key_window_us if m.cls.effect is Effect.KEYED else 0) - self.margin
+        return m.tries >= self.tries or m.ran_at >= 0 and m.cls.effect is not Effect.SAFE and self.now >= end
+
+    def come_back_us(self) -> int:
+        """When to come again, for a message that the courier has no room for: spread by chance."""
+        return int(self.s.max_retry_after_us * self.random.uniform(0.5, 1))
+
     def _refusal(self, dest: Destination, life: int) -> float:
         """Share of a destination's new messages that are refused unsent: as many as of its calls are.
 
@@ -278,8 +286,7 @@
         if tenant >= len(self.quota):
             return 1.0
         q = self.quota[tenant]
-        q[1] = min(max(1.0, q[0]), q[1] + q[0] * (self.now - q[2]) / 1e6)
-        q[2] = self.now
+        q[1], q[2] = min(max(1.0, q[0]), q[1] + q[0] * (self.now - q[2]) / 1e6), self.now
         if q[1] < 1.0:
             return self.s.over_share_worth
         q[1] -= 1.0
@@ -290,8 +297,7 @@
         if found is None:
             return
         call, m = found
-        ep = call.endpoint
-        call.left -= 1
+        ep, call.left = call.endpoint, call.left - 1
         if call.left == 0:
             self.out -= 1
             ep.lane.out -= 1
@@ -303,7 +309,7 @@
                 else:
                     self.actions.append(CloseIdle(ep.id))
         m.out -= 1
-        if e.result is Result.FULL and e.retry_after_us:
+        if e.retry_after_us:
             # Heeded for each message: those of one batched call were told different waits. A told wait comes
             # in cut milliseconds, so one more keeps a send from falling just inside its end.
             ep.lane.wait_until = max(ep.lane.wait_until, self.now + e.retry_after_us + 1_000)
@@ -405,8 +411,7 @@
     def _succeeded(self, ep: Endpoint, latency: int) -> None:
         lane, now = ep.lane, self.now
         ep.last_ok = now
-        ep.bad *= 1 - MEMORY
-        ep.c.bad *= 1 - MEMORY
+        ep.bad, ep.c.bad = ep.bad * (1 - MEMORY), ep.c.bad * (1 - MEMORY)
         ep.dirty, ep.dirty_at = self._dirt(ep) * (1 - MEMORY), now
         if latency:
             self.loss = max(LOSS, self.loss * (1 - LOSS_MEMORY))
@@ -415,8 +420,7 @@
                 lane.mean = lane.dev = max(float(latency), self.hold)
             lane.dev += (abs(latency - lane.mean) - lane.dev) / 8
             lane.mean += (latency - lane.mean) / 8
-        lane.seen = lane.seen * max(0.0, 1 - (now - lane.seen_at) / 4e6) + 0.25
-        lane.seen_at = now
+        lane.seen, lane.seen_at = lane.seen * max(0.0, 1 - (now - lane.seen_at) / 4e6) + 0.25, now
         lane.fulls, lane.refused = 0, lane.refused * (1 - REFUSED_MEMORY)
         self.refused[lane.dest.kind] *= 1 - KIND_MEMORY
         lane.window = min(self.cap, lane.window + 1)
@@ -534,9 +538,8 @@
         if not lane.rate:
             return 1.0
         if self.now > lane.stamp:
-            lane.tokens += lane.rate * (self.now - lane.stamp) / 1e6
-            lane.tokens = min(lane.tokens, max(1.0, lane.rate * self.burst))
-            lane.stamp = self.now
+            tokens = lane.tokens + lane.rate * (self.now - lane.stamp) / 1e6
+            lane.tokens, lane.stamp = min(tokens, max(1.0, lane.rate * self.burst)), self.now
         return lane.tokens
 
     def _warm(self, circuit: Circuit) -> float:
@@ -577,7 +580,9 @@
     def _may(self, m: Message, ep: Endpoint) -> bool:
         """The gate, message side: attempts, effect class, key order, deadline."""
         now = self.now
-        left = m.until - now - self.margin
+        left = min(m.until, self.closing) - now - self.margin
+        if self.closing < math.inf and left < self._timeout(ep.lane):  # it might be cut off at the end
+            return False
         if m.closed or m.out or m.tries >= self.tries or left <= 0:
             return False
         if now < m.ready_at:
@@ -657,8 +662,7 @@
                 picks[number] = p
 
     def _send(self, m: Message, ep: Endpoint) -> None:
-        now, lane = self.now, ep.lane
-        call = Call(ep, now)
+        now, lane, call = self.now, ep.lane, Call(ep, self.now)
         self.out += 1
         lane.out += 1
         lane.dest.out += 1
@@ -685,7 +689,7 @@
 
     def _attempt(self, m: Message, call: Call) -> None:
         ep, now = call.endpoint, self.now
-        left = m.until - now - self.margin
+        left = int(min(m.until, self.closing)) - now - self.margin
         timeout, lane = left, ep.lane
         guess = self._timeout(lane) if lane.mean else max(self.s.connect_timeout_us, m.cls.aim_us)
         if m.cls.effect is Effect.UNSAFE:  # one long try: but a lost call must not hold a slot till its end
@@ -697,9 +701,7 @@
         m.dest.queue.remove(m)
         self.calls[(m.id, m.tries)] = (call, m)
         call.left += 1
-        m.tries += 1
-        m.out += 1
-        m.last = ep
+        m.tries, m.out, m.last = m.tries + 1, m.out + 1, ep
         self.actions.append(Send(m.id, ep.id, max(1, timeout)))
 
     def _wake(self, at: int) -> None:
--- a/hopmill/interface.py
+++ b/hopmill/interface.py
@@ -190,6 +190,9 @@
     tenant: int = 0
     order_key: int = 0
     resubmitted: bool = False
+    # Of a message restored after a restart, or whose key is known from an earlier one:
+    tries: int = 0  # attempts so far
+    ran_at_us: int = -1  # when the first attempt that may have run was sent
 
 
 @dataclass(frozen=True, slots=True)
@@ -237,6 +240,13 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class Closing:
+    """A planned restart: no attempt may last past then. What is still held is restored afterwards."""
+
+    until_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class PeerNote:
     """A note from another courier."""
@@ -246,7 +256,7 @@
 
 
 Event = (EndpointsListed | MessageArrived | AttemptAnswering | AttemptEnded | ProbeEnded | MessageGone
-         | TimerDue | PeerNote)
+         | TimerDue | Closing | PeerNote)
 
 # Actions: what the host must carry out, in order. Refuse and Fail are final answers.
 
--- /dev/null
+++ b/hopmill/net/calls.py
@@ -0,0 +1,362 @@
+"""Calls to endpoints: single, bundled and probes, over bounded keep-alive pools."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from hopmill.interface import Result
+from hopmill.net.config import Address
+from hopmill.net.http import LOCAL_ERRORS, Connection, Exchange
+
+IDLE_SHARE = 0.75  # idle connections are closed at this share of the time at which the endpoint would
+IDLE_EACH = 8  # idle connections kept to one endpoint
+TAIL_S = 1.0  # how long the rest of an answer whose status line has come is waited for
+STATES = {"done": Result.OK, "failed": Result.ERROR, "busy": Result.FULL, "void": Result.MOOT,
+          "used_up": Result.MOOT}
+log = logging.getLogger(__name__)
+
+
+@dataclass
+class Item:
+    """One message's part in a call."""
+
+    number: int
+    attempt: int
+    id: str
+    key: str
+    body: bytes
+    timeout_us: int
+    begun: bool = False  # its first byte may have been written
+    ended: bool = False
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """How an attempt ended."""
+
+    result: Result
+    over: bool = False  # nothing more is owed for the message
+    wait_us: int = 0  # a told wait
+
+
+@dataclass
+class Hooks:
+    """What the calls ask of and tell the host."""
+
+    may_write: Callable[[int], bool]  # the endpoint neither drains nor is there a wait
+    begin: Callable[[list[Item]], bool]  # the attempt is about to be written; False: it must not be
+    ended: Callable[[Item, int, Outcome, int], None]  # item, endpoint, outcome, latency in us
+    told_wait: Callable[[int, int], None]  # endpoint, us: at once, before any outcome
+    probed: Callable[[int, Result, int], None]
+
+
+@dataclass
+class Pool:
+    address: Address
+    idle: list[Connection] = field(default_factory=list)  # the most recently used last
+    timers: dict[Connection, asyncio.TimerHandle] = field(default_factory=dict)
+
+
+def single_outcome(status: int, headers: dict[str, str]) -> Outcome:
+    """PROTOCOL's table of answers."""
+    wait = told_wait(headers)
+    if status == 200:
+        return Outcome(Result.OK, over=True, wait_us=wait)
+    if status in (429, 503):
+        no_slot = headers.get("slots-taken") == "1"
+        return Outcome(Result.MOOT if no_slot else Result.FULL, wait_us=wait)
+    if status == 410:
+        return Outcome(Result.MOOT, over=True, wait_us=wait)
+    if status in (400, 413, 504):  # not sent
+        return Outcome(Result.MOOT, wait_us=wait)
+    return Outcome(Result.ERROR, wait_us=wait)  # 500, or what the protocol does not name: it may have run
+
+
+def told_wait(headers: dict[str, str]) -> int:
+    try:
+        return max(0, int(float(headers.get("retry-after", "0")) * 1e6))
+    except (ValueError, OverflowError):
+        return 0
+
+
+def bundle_outcomes(body: bytes, wait_us: int) -> dict[str, Outcome]:
+    """Each one's end in a bundle's answer; unreadable ones lack."""
+    try:
+        rows = json.loads(body)
+        states = {str(row["id"]): STATES[row["state"]] for row in rows}
+        voids = {str(row["id"]) for row in rows if row["state"] in ("done", "void")}
+    except (ValueError, KeyError, TypeError):
+        return {}
+    return {i: Outcome(r, i in voids, wait_us) for i, r in states.items()}
+
+
+class Call(Exchange):
+    """One call in flight, until each of its items has ended."""
+
+    def __init__(self, calls: Calls, endpoint: int, items: list[Item], path: str = "") -> None:
+        self.calls, self.endpoint, self.items = calls, endpoint, items
+        self.path = path  # of a probe
+        self.started = calls.loop.time()
+        self.status, self.headers, self.body = 0, {}, bytearray()
+        self.connection: Connection | None = None
+        longest = max((i.timeout_us for i in items), default=0)
+        self.timers: list[asyncio.TimerHandle] = []
+        self.deadline = self.started + longest / 1e6
+
+    @property
+    def latency_us(self) -> int:
+        return int((self.calls.loop.time() - self.started) * 1e6)
+
+    @property
+    def open(self) -> bool:
+        return any(not i.ended for i in self.items)
+
+    def timer(self, delay: float, action: Callable[[], None]) -> None:
+        self.timers.append(self.calls.loop.call_later(max(0.0, delay), action))
+
+    def end(self) -> None:
+        if self.path:
+            self.calls.probe_ended(self, Result.OK if self.status == 200 else Result.FULL)
+        elif self.status == 200 and len(self.items) > 1:
+            ends = bundle_outcomes(bytes(self.body), told_wait(self.headers))
+            for item in self.items:
+                # One that the answer leaves out may have run.
+                self.finish(item, ends.get(item.id, Outcome(Result.ERROR)))
+        self.calls.release(self)
+
+    def head(self, status: int, headers: dict[str, str]) -> None:
+        self.status, self.headers = status, headers
+        if wait := told_wait(headers):
+            self.calls.hooks.told_wait(self.endpoint, wait)
+        if self.path or status == 200 and len(self.items) > 1:  # a bundle's counts once it is whole
+            return
+        for item in self.items:
+            self.finish(item, single_outcome(status, headers))
+        self.timer(TAIL_S, self.abandon)
+
+    def data(self, data: bytes) -> None:
+        self.body += data
+
+    def lost(self, written: bool) -> None:
+        if self.path:
+            self.calls.probe_ended(self, Result.RESET)
+        self.finish_all(Outcome(Result.RESET if written else Result.CONNECT_FAILED))
+        self.calls.release(self)
+
+    def timed_out(self) -> None:
+        """The courier stops waiting: the connection goes too, or a late answer would meet the next call."""
+        sent = self.connection is not None and self.connection.exchange is self and self.connection.written
+        if self.path:
+            self.calls.probe_ended(self, Result.TIMEOUT)
+        outcome = Outcome(Result.TIMEOUT if sent else Result.CONNECT_FAILED)
+        self.abandon()
+        self.finish_all(outcome)
+
+    def abandon(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+        self.calls.release(self)
+
+    def finish_all(self, outcome: Outcome) -> None:
+        for item in self.items:
+            self.finish(item, outcome)
+
+    def finish(self, item: Item, outcome: Outcome) -> None:
+        if not item.ended:
+            item.ended = True
+            self.calls.hooks.ended(item, self.endpoint, outcome, self.latency_us)
+
+
+class Calls:
+    """The calls out and the connections to all endpoints."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, hooks: Hooks, idle_us: int, connect_us: int,
+                 max_idle: int) -> None:
+        self.loop, self.hooks = loop, hooks
+        self.idle_s, self.connect_s, self.max_idle = idle_us * IDLE_SHARE / 1e6, connect_us / 1e6, max_idle
+        self.pools: dict[int, Pool] = {}
+        self.out: set[Call] = set()
+        self.opened = self.reused = 0
+
+    def place(self, endpoint: int, address: Address) -> None:
+        """Where the endpoint is; one that moved gets new connections."""
+        pool = self.pools.get(endpoint)
+        if pool is None or pool.address != address:
+            self.close_idle(endpoint)
+            self.pools[endpoint] = Pool(address)
+
+    def forget(self, endpoint: int) -> None:
+        self.close_idle(endpoint)
+        self.pools.pop(endpoint, None)
+
+    def close_idle(self, endpoint: int) -> None:
+        if pool := self.pools.get(endpoint):
+            for connection in list(pool.idle):
+                connection.close()
+
+    def close(self) -> None:
+        for endpoint in list(self.pools):
+            self.close_idle(endpoint)
+        for call in list(self.out):
+            call.abandon()
+
+    # Starting
+
+    def send(self, endpoint: int, items: list[Item]) -> None:
+        """One call with these messages; each item's end is told once."""
+        call = Call(self, endpoint, items)
+        for item in items:
+            # Items of a bundle share its fate: one that ended sooner could be tried again while its first
+            # copy is still out. The host cuts each time-out to its message's deadline.
+            call.timer(item.timeout_us / 1e6, lambda item=item: self._late(call, item))
+        self._start(call)
+
+    def probe(self, endpoint: int, path: str = "/alive") -> None:
+        call = Call(self, endpoint, [], path)
+        call.timer(self.connect_s, call.timed_out)
+        self._start(call)
+
+    def cancel(self, number: int, attempt: int) -> None:
+        """Stop waiting for a single call; one in a bundle goes on with it."""
+        for call in list(self.out):
+            item = call.items[0] if len(call.items) == 1 else None
+            if item and item.number == number and item.attempt == attempt and not item.ended:
+                call.abandon()
+                call.finish(item, Outcome(Result.CANCELLED if item.begun else Result.MOOT))
+
+    def _late(self, call: Call, item: Item) -> None:
+        if item.ended:
+            return
+        if sum(not i.ended for i in call.items) == 1:
+            call.timed_out()
+        else:
+            call.finish(item, Outcome(Result.TIMEOUT if item.begun else Result.CONNECT_FAILED))
+
+    def _start(self, call: Call) -> None:
+        pool = self.pools.get(call.endpoint)
+        if pool is None:
+            self._unsent(call, Result.MOOT)
+            return
+        self.out.add(call)
+        while pool.idle:
+            connection = pool.idle.pop()
+            pool.timers.pop(connection).cancel()
+            if not connection.stale():
+                connection.on_close = lambda: None
+                self.reused += 1
+                self._write(call, connection)
+                return
+            connection.close()
+        try:
+            connection = Connection(self.loop, pool.address)
+        except OSError as error:
+            log.error("no socket for a call: %s", error)
+            self._unsent(call, Result.MOOT)
+            return
+        self.opened += 1
+        call.connection = connection
+        call.timer(self.connect_s, lambda: call.timed_out() if connection.exchange is None
+                   and not call.status else None)
+        try:
+            connection.connect(lambda error: self._connected(call, connection, error))
+        except OSError as error:
+            connection.close()
+            self._unsent(call, Result.MOOT if error.errno in LOCAL_ERRORS else Result.CONNECT_FAILED)
+
+    def _connected(self, call: Call, connection: Connection, error: OSError | None) -> None:
+        if error is None:
+            self._write(call, connection)
+            return
+        self._unsent(call, Result.MOOT if error.errno in LOCAL_ERRORS else Result.CONNECT_FAILED)
+
+    def _write(self, call: Call, connection: Connection) -> None:
+        call.connection = connection
+        items = [i for i in call.items if not i.ended]
+        call.items = items
+        if not items and not call.path or not self.hooks.may_write(call.endpoint):
+            self._unsent(call, Result.MOOT)
+            self._keep(call.endpoint, connection)
+            return
+        if items and not self.hooks.begin(items):
+            self._unsent(call, Result.MOOT)
+            self._keep(call.endpoint, connection)
+            return
+        for item in items:
+            item.begun = True
+        if call.path:
+            connection.request("GET", call.path, [], b"", call)
+        elif len(items) == 1:
+            connection.request("POST", "/events", self._headers(call, items[0]), items[0].body, call)
+        else:
+            body = json.dumps([self._row(i) for i in items], separators=(",", ":")).encode()
+            headers = [self._patience(call), ("Content-Type", "application/json")]
+            connection.request("POST", "/events/bundle", headers, body, call)
+
+    def _patience(self, call: Call) -> tuple[str, str]:
+        left = max(1, int((call.deadline - self.loop.time()) * 1e3))
+        return "X-Timeout-Ms", str(left)
+
+    def _headers(self, call: Call, item: Item) -> list[tuple[str, str]]:
+        headers = [("X-Request-ID", item.id), self._patience(call)]
+        if item.key:
+            headers.append(("Idempotency-Key", item.key))
+        return headers
+
+    @staticmethod
+    def _row(item: Item) -> dict[str, Any]:
+        row = {"id": item.id, "body": base64.b64encode(item.body).decode()}
+        if item.key:
+            row["key"] = item.key
+        return row
+
+    # Ending
+
+    def _unsent(self, call: Call, result: Result) -> None:
+        self._drop(call)
+        if call.path:
+            self.probe_ended(call, result)
+        call.finish_all(Outcome(result))
+
+    def probe_ended(self, call: Call, result: Result) -> None:
+        if call.path:
+            call.path, latency = "", call.latency_us
+            self.hooks.probed(call.endpoint, result, latency)
+
+    def _drop(self, call: Call) -> None:
+        self.out.discard(call)
+        for timer in call.timers:
+            timer.cancel()
+
+    def release(self, call: Call) -> None:
+        """The call is over; its connection, if still good, becomes idle."""
+        if call not in self.out:
+            return
+        self._drop(call)
+        if call.connection is not None:
+            self._keep(call.endpoint, call.connection)
+
+    def _keep(self, endpoint: int, connection: Connection) -> None:
+        pool = self.pools.get(endpoint)
+        if connection.closed:
+            return
+        if pool is None or pool.address != connection.address or self.idle_s <= 0:
+            connection.close()
+            return
+        if len(pool.idle) >= IDLE_EACH or sum(len(p.idle) for p in self.pools.values()) >= self.max_idle:
+            connection.close()
+            return
+        pool.idle.append(connection)
+        pool.timers[connection] = self.loop.call_later(self.idle_s, connection.close)
+        connection.on_close = lambda: self._closed(pool, connection)
+
+    @staticmethod
+    def _closed(pool: Pool, connection: Connection) -> None:
+        if connection in pool.timers:
+            pool.timers.pop(connection).cancel()
+            pool.idle.remove(connection)
--- /dev/null
+++ b/hopmill/net/discovery.py
@@ -0,0 +1,208 @@
+"""Discovery's watch, and the notices of messages that ended undelivered."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+from collections.abc import Callable
+from typing import Any
+
+from hopmill.net.config import Address
+from hopmill.net.http import Connection, Exchange
+
+SILENCE_S = 4.5  # an empty line comes every 2 s: after this the watch is taken for dead
+CONNECT_S = 1.0
+AGAIN_S = (0.1, 1.0)  # first and longest ceiling of the wait before the next try
+NOTICE_S = 1.0  # a notice is answered at once: after this it is sent again
+BATCH = 200  # notices in one request
+log = logging.getLogger(__name__)
+
+
+class Backoff:
+    """Full jitter below a doubling ceiling, with a floor so that it never spins."""
+
+    def __init__(self) -> None:
+        self.ceiling = AGAIN_S[0]
+
+    def next(self) -> float:
+        wait = random.uniform(self.ceiling / 4, self.ceiling)
+        self.ceiling = min(AGAIN_S[1], self.ceiling * 2)
+        return wait
+
+    def reset(self) -> None:
+        self.ceiling = AGAIN_S[0]
+
+
+class Link:
+    """A connection to discovery that is opened anew when it is lost."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address) -> None:
+        self.loop, self.address = loop, address
+        self.connection: Connection | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.backoff = Backoff()
+        self.stopped = False
+
+    def after(self, delay: float, action: Callable[[], None]) -> None:
+        """The one timer: the newest replaces the one before."""
+        if self.timer:
+            self.timer.cancel()
+        self.timer = self.loop.call_later(delay, action)
+
+    def open(self) -> None:
+        if self.stopped:
+            return
+        if self.connection is not None:
+            self.connection.close()
+        try:
+            self.connection = Connection(self.loop, self.address)
+            self.connection.connect(self._connected)
+        except OSError as error:
+            log.warning("discovery: %s", error)
+            self.after(self.backoff.next(), self.open)
+            return
+        self.after(CONNECT_S, self.open)
+
+    def _connected(self, error: OSError | None) -> None:
+        if error is not None:
+            self.retry()
+        else:
+            self.ready()
+
+    def ready(self) -> None:
+        raise NotImplementedError
+
+    def retry(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+        if not self.stopped:
+            self.after(self.backoff.next(), self.open)
+
+    def stop(self) -> None:
+        self.stopped = True
+        if self.timer:
+            self.timer.cancel()
+        if self.connection is not None:
+            self.connection.close()
+
+
+class Watch(Link, Exchange):
+    """Follows the list of endpoints from the last version on."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, rev: int,
+                 told: Callable[[dict[str, Any]], None]) -> None:
+        super().__init__(loop, address)
+        self.rev, self.told = rev, told
+        self.tail, self.status = b"", 0
+
+    def ready(self) -> None:
+        assert self.connection is not None
+        self.tail, self.status = b"", 0
+        self.connection.request("GET", f"/discovery/hosts?watch=1&from={self.rev}", [], b"", self)
+        self.after(SILENCE_S, self.open)
+
+    def head(self, status: int, headers: dict[str, str]) -> None:
+        self.status = status
+        if status != 200:
+            log.warning("discovery: watch answered %d", status)
+            self.retry()
+
+    def data(self, data: bytes) -> None:
+        self.after(SILENCE_S, self.open)
+        *lines, self.tail = (self.tail + data).split(b"\n")
+        for line in lines:
+            if line.strip():
+                self._line(line)
+
+    def _line(self, line: bytes) -> None:
+        try:
+            change = json.loads(line)
+            rev, targets = int(change["rev"]), change["targets"]
+            if not isinstance(targets, list):
+                raise ValueError("targets")
+        except (ValueError, KeyError, TypeError) as error:
+            log.error("discovery: a line that can't be read: %r", error)
+            self.rev = 0  # what it said is lost: ask for all anew
+            self.retry()
+            return
+        self.backoff.reset()
+        self.rev = rev
+        self.told(change)
+
+    def end(self) -> None:
+        self.retry()
+
+    def lost(self, written: bool) -> None:
+        self.retry()
+
+
+class Notices(Link, Exchange):
+    """Sends finals in batches, again and again until each batch is answered 204."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: Address,
+                 accepted: Callable[[list[int]], None]) -> None:
+        super().__init__(loop, address)
+        self.accepted = accepted
+        self.waiting: dict[int, bytes] = {}
+        self.sent: list[int] = []
+        self.busy = False
+        self.most = BATCH
+        self.status = 0
+
+    def add(self, number: int, ident: str, status: str, again_ms: int) -> None:
+        line: dict[str, Any] = {"id": ident, "status": status}
+        if again_ms:
+            line["again_ms"] = again_ms
+        self.waiting[number] = json.dumps(line, separators=(",", ":")).encode() + b"\n"
+        if not self.busy:
+            self.busy = True
+            self.loop.call_soon(self._next)
+
+    def _next(self) -> None:
+        if not self.waiting:
+            self.busy = False
+            if self.timer:
+                self.timer.cancel()
+            return
+        connection = self.connection
+        if connection is None or connection.closed or connection.stale():
+            self.open()
+        else:
+            self.ready()
+
+    def ready(self) -> None:
+        assert self.connection is not None
+        self.sent = list(self.waiting)[:self.most]
+        body = b"".join(self.waiting[n] for n in self.sent)
+        self.status = 0
+        self.after(NOTICE_S, self.open)
+        self.connection.request("POST", "/v2/finals", [("Content-Type", "application/x-ndjson")], body, self)
+
+    def head(self, status: int, headers: dict[str, str]) -> None:
+        self.status = status
+
+    def end(self) -> None:
+        if self.status == 204:
+            self.backoff.reset()
+            self._forget()
+            self.most = BATCH
+        elif self.status == 400 and len(self.sent) > 1:  # find the line that can't be read
+            self.most = len(self.sent) // 2
+        elif self.status == 400:
+            log.error("a notice was turned down: %r", self.waiting[self.sent[0]])
+            self._forget()
+        else:
+            log.warning("notices answered %d", self.status)
+            self.retry()
+            return
+        self._next()
+
+    def _forget(self) -> None:
+        for number in self.sent:
+            self.waiting.pop(number, None)
+        self.accepted(self.sent)
+
+    def lost(self, written: bool) -> None:
+        self.retry()
