--- a/hopmill/__main__.py
+++ b/hopmill/__main__.py
@@ -33,8 +33,9 @@
     host = Host(loop, config)
     loop.add_signal_handler(signal.SIGTERM, host.terminate)
     loop.add_signal_handler(signal.SIGINT, host.terminate)
-    await host.start()
-    logging.info("%s is ready with %d messages restored", config.name, len(host.journal.held))
+    port = await host.start()
+    logging.info("%s is ready on port %d with %d messages restored", config.name, port,
+                 len(host.journal.held))
     await host.closed
     host.close()
 
--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -70,8 +70,8 @@
         raise BadRequest("k: must be printable characters")
     if "c" not in fields:
         raise BadRequest("c: lacks")
-    return Put(ident.decode(), order_key(order), fields["c"], fields.get("t"), _number(fields, "d"), _number(fields, "dest"),
-               key, fields.get("r") == "1", body)
+    return Put(ident.decode(), order_key(order), fields["c"], fields.get("t"), _number(fields, "d"),
+               _number(fields, "dest"), key, fields.get("r") == "1", body)
 
 
 class Reply:
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -83,8 +83,8 @@
 
     def _arrival(self, m: Held) -> i.MessageArrived:
         ran = m.may_have_run_at
-        return i.MessageArrived(m.number, m.cls, m.dest, self._mono(m.until), m.tenant, m.order, m.resubmitted,
-                                m.tries, self._mono(ran) if ran else -1)
+        return i.MessageArrived(m.number, m.cls, m.dest, self._mono(m.until), m.tenant, m.order,
+                                m.resubmitted, m.tries, self._mono(ran) if ran else -1)
 
     # The turn
 
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,210 @@
+"""Every row of the outcome table, and the connections, over loopback sockets."""
+
+import asyncio
+import socket
+import threading
+
+import pytest
+from loopback import Endpoint, answer, bounded
+
+from hopmill.interface import Result
+from hopmill.net import calls as c
+from hopmill.net.http import Connection, Exchange
+
+
+class Outcomes:
+    """Calls with a host that lets all through and keeps what it is told."""
+
+    def __init__(self, **changes):
+        self.ended, self.waits, self.probes, self.begun = asyncio.Queue(), [], asyncio.Queue(), []
+        self.allowed = True
+        hooks = c.Hooks(lambda e: self.allowed, self.begin, self.end, lambda e, w: self.waits.append(w),
+                        lambda e, r, latency: self.probes.put_nowait(r))
+        given = {"idle_us": 10_000_000, "connect_us": 1_000_000, "max_idle": 20, **changes}
+        self.calls = c.Calls(asyncio.get_running_loop(), hooks, **given)
+
+    def begin(self, items):
+        self.begun += [i.id for i in items]
+        return True
+
+    def end(self, item, endpoint, outcome, latency):
+        self.ended.put_nowait((item.id, outcome))
+
+    async def send(self, port, *ids, timeout_us=5_000_000, body=b"x"):
+        self.calls.place(1, ("127.0.0.1", port))
+        items = [c.Item(n, 0, i, "k" + i, body, timeout_us) for n, i in enumerate(ids)]
+        self.calls.send(1, items)
+        return [await bounded(self.ended.get()) for _ in ids]
+
+
+def free_port():
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        return s.getsockname()[1]
+
+
+@pytest.mark.parametrize(("step", "outcome"), [
+    (answer(200), c.Outcome(Result.OK, over=True)),
+    (answer(500), c.Outcome(Result.ERROR)),
+    (answer(429, Retry_After="0.25"), c.Outcome(Result.FULL, wait_us=250_000)),
+    (answer(503), c.Outcome(Result.FULL)),
+    (answer(503, Slots_Taken="1"), c.Outcome(Result.MOOT)),
+    (answer(504), c.Outcome(Result.MOOT)),
+    (answer(410), c.Outcome(Result.MOOT, over=True)),
+    (answer(413), c.Outcome(Result.MOOT)),
+    ("reset", c.Outcome(Result.RESET)),
+    ("hang", c.Outcome(Result.TIMEOUT)),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal", c.Outcome(Result.OK, over=True)),
+    (b"nonsense\r\n\r\n", c.Outcome(Result.RESET)),
+])
+def test_each_answer_has_its_outcome(step, outcome):
+    async def run():
+        endpoint = await Endpoint(step).start()
+        o = Outcomes()
+        timeout = 100_000 if step == "hang" else 5_000_000
+        assert await o.send(endpoint.port, "a", timeout_us=timeout) == [("a", outcome)]
+        path, headers, body, _ = await endpoint.call()
+        assert (path, headers["x-request-id"], headers["idempotency-key"]) == ("/events", "a", "ka")
+        assert body == b"x"
+        assert 1 <= int(headers["x-timeout-ms"]) <= 5000
+        if step == "hang":  # the slot is held until the connection ends: a timed-out call closes it
+            await bounded(endpoint.ended.get())
+        assert o.waits == ([250_000] if outcome.wait_us else [])
+        o.calls.close()
+        await endpoint.stop()
+    asyncio.run(run())
+
+
+def test_a_refused_connection_never_ran():
+    async def run():
+        o = Outcomes()
+        assert await o.send(free_port(), "a") == [("a", c.Outcome(Result.CONNECT_FAILED))]
+        assert o.begun == []  # nothing was written, so no attempt is recorded
+    asyncio.run(run())
+
+
+def test_a_connection_that_never_comes_up_never_ran():
+    # A full accept queue swallows the handshake, as a machine that is cut off does.
+    async def run():
+        with socket.socket() as s:
+            s.bind(("127.0.0.1", 0))
+            s.listen(0)
+            fill = [socket.socket() for _ in range(4)]
+            for f in fill:
+                f.setblocking(False)
+                f.connect_ex(s.getsockname())
+            await asyncio.sleep(0.05)
+            o = Outcomes(connect_us=100_000)
+            assert await o.send(s.getsockname()[1], "a") == [("a", c.Outcome(Result.CONNECT_FAILED))]
+            for f in fill:
+                f.close()
+    asyncio.run(run())
+
+
+def test_a_break_before_the_last_byte_never_ran():
+    # asyncio's transports would count the request as written once it is in their buffer.
+    async def run():
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+
+        def take_a_little():
+            peer, _ = listener.accept()
+            peer.recv(10)
+            peer.close()  # with bytes unread: a reset
+
+        thread = threading.Thread(target=take_a_little)
+        thread.start()
+        loop = asyncio.get_running_loop()
+        up, lost = loop.create_future(), loop.create_future()
+
+        class Seen(Exchange):
+            def lost(self, written):
+                lost.set_result(written)
+
+        connection = Connection(loop, listener.getsockname())
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        connection.connect(up.set_result)
+        assert await bounded(up) is None
+        connection.request("POST", "/events", [], b"x" * 4_000_000, Seen())
+        assert await bounded(lost) is False
+        thread.join()
+        listener.close()
+    asyncio.run(run())
+
+
+def test_a_connection_is_used_again_but_not_a_stale_one():
+    async def run():
+        endpoint = await Endpoint().start()
+        o = Outcomes()
+        for ident in "abc":
+            await o.send(endpoint.port, ident)
+        assert endpoint.accepted == 1
+        endpoint.drop()  # closed as idle: a request written to it would end as a reset
+        await bounded(endpoint.ended.get())
+        assert (await o.send(endpoint.port, "d"))[0][1].result is Result.OK
+        assert endpoint.accepted == 2
+        o.calls.close()
+        await endpoint.stop()
+    asyncio.run(run())
+
+
+def test_idle_connections_close_well_before_the_endpoint_would():
+    async def run():
+        endpoint = await Endpoint().start()
+        o = Outcomes(idle_us=100_000)
+        await o.send(endpoint.port, "a")
+        await bounded(endpoint.ended.get())  # this side ended it
+        assert not o.calls.pools[1].idle
+        await endpoint.stop()
+    asyncio.run(run())
+
+
+def test_a_bundle_has_an_end_for_each():
+    async def run():
+        rows = (b'[{"id":"a","state":"done"},{"id":"b","state":"failed"},{"id":"c","state":"busy"},'
+                b'{"id":"d","state":"void"},{"id":"e","state":"used_up"}]')
+        endpoint = await Endpoint(answer(200, rows, Retry_After="0.5"), answer(429, Retry_After="1"),
+                                  answer(200, b"[]"), "reset").start()
+        o = Outcomes()
+        ends = dict(await o.send(endpoint.port, *"abcde"))
+        path, headers, body, _ = await endpoint.call()
+        assert path == "/events/bundle" and b'"key":"ka"' in body and b'"body":"eA=="' in body
+        assert {o.wait_us for o in ends.values()} == {500_000}
+        assert {i: (o.result, o.over) for i, o in ends.items()} == {
+            "a": (Result.OK, True), "b": (Result.ERROR, False), "c": (Result.FULL, False),
+            "d": (Result.MOOT, True), "e": (Result.MOOT, False)}
+        assert {o.result for _, o in await o.send(endpoint.port, *"fg")} == {Result.FULL}
+        assert {o.result for _, o in await o.send(endpoint.port, *"hi")} == {Result.ERROR}  # may have run
+        assert {o.result for _, o in await o.send(endpoint.port, *"jk")} == {Result.RESET}
+        assert o.waits == [500_000, 1_000_000]
+        await endpoint.stop()
+    asyncio.run(run())
+
+
+def test_what_may_not_be_written_any_more_is_reported_as_never_run():
+    # News of a wait or a drain can come while the connection for a call is being made.
+    async def run():
+        endpoint = await Endpoint().start()
+        o = Outcomes()
+        o.allowed = False
+        assert await o.send(endpoint.port, "a") == [("a", c.Outcome(Result.MOOT))]
+        assert endpoint.calls.empty() and o.begun == []
+        o.calls.close()
+        await endpoint.stop()
+    asyncio.run(run())
+
+
+def test_probes():
+    async def run():
+        endpoint = await Endpoint(answer(200), answer(503), "reset").start()
+        o = Outcomes()
+        o.calls.place(1, ("127.0.0.1", endpoint.port))
+        for wanted in (Result.OK, Result.FULL, Result.RESET):
+            o.calls.probe(1)
+            assert await bounded(o.probes.get()) is wanted
+        assert (await endpoint.call())[0] == "/alive"
+        o.calls.close()
+        await endpoint.stop()
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_restart.py
@@ -0,0 +1,173 @@
+"""The courier as a process of its own: killed, terminated, started again."""
+
+import asyncio
+import os
+import signal
+import time
+
+from loopback import Client, Fleet, answer, bounded
+
+from hopmill.net.state import Held, Journal, frame
+
+
+def courier(test):
+    def run(tmp_path):
+        async def inner():
+            async with Fleet(tmp_path) as fleet:
+                await test(fleet)
+        asyncio.run(inner())
+    return run
+
+
+@courier
+async def test_what_was_taken_on_outlasts_sigkill(fleet):
+    # In flight when the process dies: each may have run, so only what may be repeated goes again.
+    e = await fleet.endpoint("a", "hang", "hang", "hang", dest=1)
+    f = await fleet.endpoint("b", "hang", dest=2)
+    g = await fleet.endpoint("c", "hang", dest=3)
+    client = await fleet.outside()
+    await client.put("safe", dest=1)
+    await client.put("unsafe", kind="unsafe", dest=2)
+    await client.put("keyed", kind="keyed", key="k", dest=3)
+    await client.put("held", dest=5)  # no endpoint yet
+    for endpoint in (e, f, g):
+        await endpoint.call()
+    await fleet.kill()
+    e.script.clear()
+    h = await fleet.endpoint("d", dest=5)
+    client = await fleet.outside()
+    assert await fleet.discovery.final() == {"id": "unsafe", "status": "undeliverable"}
+    assert (await e.call())[1]["x-request-id"] == "safe"
+    assert (await g.call())[1]["idempotency-key"] == "k"
+    assert (await h.call())[1]["x-request-id"] == "held"
+    assert f.calls.empty()
+    assert await client.put("safe", dest=1) == "+OK"  # known: not run again
+    await client.put("next", dest=1)
+    assert (await e.call())[1]["x-request-id"] == "next"
+
+
+@courier
+async def test_what_has_ended_does_not_come_again(fleet):
+    e = await fleet.endpoint("a", answer(200), answer(429))
+    client = await fleet.outside()
+    await client.put("m1", kind="unsafe")
+    await e.call()
+    await client.put("m2", kind="unsafe")
+    assert (await fleet.discovery.final())["id"] == "m2"
+    assert await client.put("m1", kind="unsafe") == "+OK"  # it is done by now, and the 204 has been read
+    await client.put("m3")
+    for _ in range(2):
+        await e.call()
+    await asyncio.sleep(0.2)
+    await fleet.kill()
+    client = await fleet.outside()
+    await client.put("m4")
+    assert (await e.call())[1]["x-request-id"] == "m4"
+    assert e.calls.empty() and fleet.discovery.finals.empty()
+
+
+@courier
+async def test_a_final_without_its_204_is_told_again(fleet):
+    await fleet.endpoint("a", answer(500))
+    fleet.discovery.notice_status = [500] * 1000
+    client = await fleet.outside()
+    await client.put("u", kind="unsafe")
+    await fleet.discovery.final(500)
+    await fleet.kill()
+    fleet.discovery.notice_status = []
+    await fleet.outside()
+    assert await fleet.discovery.final() == {"id": "u", "status": "undeliverable"}
+
+
+@courier
+async def test_an_expired_message_gets_its_notice_after_a_restart(fleet):
+    client = await fleet.outside()
+    await client.put("m", life=300, dest=99)
+    await fleet.kill()
+    await asyncio.sleep(0.4)
+    await fleet.outside()
+    ready = time.monotonic()
+    assert (await fleet.discovery.final())["id"] == "m"
+    assert time.monotonic() - ready < 1.5
+
+
+@courier
+async def test_a_torn_journal_is_cut_off_and_used(fleet):
+    client = await fleet.outside()
+    await client.put("m1", dest=5)
+    await client.put("m2", dest=5)
+    await fleet.kill()
+    path = fleet.folder / "state" / "messages.journal"
+    os.truncate(path, path.stat().st_size - 3)
+    e = await fleet.endpoint("a", dest=5)
+    client = await fleet.outside()
+    assert (await e.call())[1]["x-request-id"] == "m1"
+    await client.put("m3", dest=5)
+    assert (await e.call())[1]["x-request-id"] == "m3"
+
+
+@courier
+async def test_sigterm_under_traffic(fleet):
+    # New connections go on coming for a while, a call that is out is let finish, nothing answered is lost.
+    e = await fleet.endpoint("a")
+    client = await fleet.outside()
+    start = time.monotonic()
+    fleet.process.send_signal(signal.SIGTERM)
+    sent = 0
+    while time.monotonic() - start < 0.3:
+        late = await Client().open(fleet.port)
+        assert await late.put(f"m{sent}") == "+OK"
+        late.writer.close()
+        sent += 1
+        await asyncio.sleep(0.02)
+    assert await bounded(client.reader.read()) == b""  # closed between requests
+    await bounded(fleet.process.wait())
+    assert time.monotonic() - start < 3.7 and fleet.process.returncode == 0
+    ids = {(await e.call())[1]["x-request-id"] for _ in range(e.calls.qsize())}
+    if len(ids) < sent:  # the rest is in the journal
+        await fleet.outside()
+        while len(ids) < sent:
+            ids.add((await e.call())[1]["x-request-id"])
+    assert ids == {f"m{n}" for n in range(sent)}
+
+
+@courier
+async def test_sigterm_with_a_hung_call_ends_in_time(fleet):
+    e = await fleet.endpoint("a", "hang")
+    client = await fleet.outside()
+    await client.put("u", kind="unsafe")
+    await e.call()
+    start = time.monotonic()
+    fleet.process.send_signal(signal.SIGTERM)
+    await bounded(fleet.process.wait())
+    assert time.monotonic() - start < 3.7 and fleet.process.returncode == 0
+
+
+def test_compaction_keeps_what_is_open_and_stays_under_the_limit(tmp_path):
+    limit = 60_000
+    journal = Journal(tmp_path, limit)
+    keep = Held(1, "keep", 0, 0, 7, "k", time.time() + 9, False, b"body")
+    journal.take(keep)
+    journal.attempt([1], 123.0)
+    for n in range(2, 1500):
+        journal.take(Held(n, f"m{n}", 0, 0, 7, "", time.time() + 9, False, b"x" * 300))
+        journal.attempt([n], 1.0)
+        journal.missed(n)
+        journal.done(n)
+        journal.over.clear()
+        journal.live = sum(m.bytes for m in journal.held.values())
+        assert sum(-(-f.stat().st_size // 512) * 512 for f in tmp_path.iterdir()) <= limit
+    journal.close()
+    again = Journal(tmp_path, limit)
+    assert (again.held[1].id, again.held[1].tries, again.held[1].may_have_run_at) == ("keep", 1, 123.0)
+    assert list(again.held) == [1] and again.last == 1499
+    again.close()
+
+
+def test_a_record_with_a_wrong_checksum_ends_the_journal(tmp_path):
+    good = frame(["known", 5, {}, {}])
+    path = tmp_path / "messages.journal"
+    path.write_bytes(good + good[:-1] + b"\xff" + good)
+    journal = Journal(tmp_path, 100_000)
+    assert journal.last == 5 and path.stat().st_size == len(good)
+    journal.close()
