--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -109,6 +109,17 @@
         self.gone = True
         self.server.left(self)
 
+    def eof_received(self) -> bool:
+        """A client that has ended its sending still gets the answers that it waits for."""
+        self.closing = True
+        return bool(self.pending)
+
+    def pause_writing(self) -> None:
+        self.transport.pause_reading()  # one that does not read its answers is not read from either
+
+    def resume_writing(self) -> None:
+        self.transport.resume_reading()
+
     def data_received(self, data: bytes) -> None:
         if self.closing:
             return
--- a/hopmill/net/discovery.py
+++ b/hopmill/net/discovery.py
@@ -12,7 +12,7 @@
 from hopmill.net.config import Address
 from hopmill.net.http import Connection, Exchange
 
-SILENCE_S = 4.5  # an empty line comes every 2 s: after this the watch is taken for dead
+SILENCE_S = 3.2  # an empty line comes every 2 s: after this the watch is taken for dead
 CONNECT_S = 1.0
 AGAIN_S = (0.1, 1.0)  # first and longest ceiling of the wait before the next try
 NOTICE_S = 1.0  # a notice is answered at once: after this it is sent again
@@ -100,8 +100,8 @@
     def ready(self) -> None:
         assert self.connection is not None
         self.tail, self.status = b"", 0
-        self.connection.request("GET", f"/discovery/hosts?watch=1&from={self.rev}", [], b"", self)
         self.after(SILENCE_S, self.open)
+        self.connection.request("GET", f"/discovery/hosts?watch=1&from={self.rev}", [], b"", self)
 
     def head(self, status: int, headers: dict[str, str]) -> None:
         self.status = status
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -169,14 +169,13 @@
         if put.id in self.journal.ids or put.id in self.journal.over:
             reply.send(b"+OK\r\n")  # handed in again on a new connection: it is, or was, taken care of
             return
-        if len(self.journal.held) + len(self.arrived) >= self.s.max_held:
+        if sum(not m.status for m in self.journal.held.values()) + len(self.arrived) >= self.s.max_held:
             reply.send(refusal(self.courier.come_back_us()))
             return
         now = time.time()
         self.numbers += 1
-        ran_at = self.journal.keys.get(put.key, 0.0) if put.key else 0.0
         m = Held(self.numbers, put.id, cls, tenant, put.dest, put.key, now + put.life_ms / 1e3,
-                 put.resubmitted, put.body, put.order, ran_at=ran_at)
+                 put.resubmitted, put.body, put.order, ran_at=self.journal.key_ran_at(put.key))
         self._replace(m)
         self.arrived[m.number] = (m, [reply])
         self.arriving[m.id] = m.number
@@ -281,7 +280,15 @@
         for item in items:
             left = self._mono(self.journal.held[item.number].until) - self.clock() - 2 * self.s.tick_us
             item.timeout_us = max(item.timeout_us, min(longest, left))
-        self.calls.send(endpoint, items)
+        try:
+            self.calls.send(endpoint, items)
+        except Exception:  # its slots and messages must not hang on it
+            log.exception("a call failed")
+            for item in items:
+                if not item.ended:
+                    item.ended = True
+                    result = i.Result.RESET if item.begun else i.Result.MOOT
+                    self._ended(item, endpoint, Outcome(result), 0)
 
     def _wait_key(self, endpoint: int) -> tuple[int, int]:
         entry = self.entries.get(endpoint)
@@ -383,11 +390,11 @@
         self._maybe_exit()
 
     def _maybe_exit(self) -> None:
-        done = not self.calls.out and not self.notices.waiting and not self.events and not self.arrived
-        if self.closing_at and done and not self.clients.clients:
-            listening = self.clients.server is not None and self.clients.server.is_serving()
-            if not listening:
-                self._exit()
+        # What still waits for its turn may be sent until the last call must have begun.
+        done = not self.calls.out and not self.journal.held and not self.events and not self.arrived
+        listening = self.clients.server is not None and self.clients.server.is_serving()
+        if self.closing_at and done and not self.clients.clients and not listening:
+            self._exit()
 
     def _exit(self) -> None:
         if not self.closed.done():
--- a/hopmill/net/state.py
+++ b/hopmill/net/state.py
@@ -200,6 +200,11 @@
             for key, at in record[3].items():
                 self._remember_key(key, at)
 
+    def key_ran_at(self, key: str) -> float:
+        """When the first attempt with this key that may have run was sent, 0 if none is known."""
+        at = self.keys.get(key, 0.0) if key else 0.0
+        return at if time.time() - at < self.key_s else 0.0
+
     def _remember_over(self, ident: str, at: float) -> None:
         if ident not in self.over:
             self.live += EACH
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -265,3 +265,45 @@
             other = await Client().open(client.writer.get_extra_info("peername")[1])
             assert await other.put("m") == "+OK"
     asyncio.run(run())
+
+
+@courier
+async def test_a_client_that_ends_its_sending_still_hears_its_answer(fleet):
+    # Ending a connection with no answer loses the message.
+    e = await fleet.endpoint("a")
+    client = await fleet.inside()
+    client.writer.write(client.message("m"))
+    client.writer.write_eof()
+    assert await client.line() == "+OK"
+    assert await bounded(client.reader.read()) == b""
+    await e.call()
+
+
+@courier
+async def test_a_call_that_fails_inside_is_ended(fleet):
+    # An error in the courier's own code must neither end the process nor hold a slot for good.
+    await fleet.endpoint("a")
+    client = await fleet.inside()
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(fleet.host.calls, "_start", lambda call: 1 / 0)
+        assert await client.put("m1", kind="unsafe") == "+OK"
+        assert (await fleet.discovery.final())["status"] == "deferred"
+    assert fleet.host.courier.out == 0
+    await client.put("m2")
+    assert (await fleet.endpoints["a"].call())[1]["x-request-id"] == "m2"
+
+
+@courier
+async def test_a_known_key_keeps_its_age(fleet):
+    # Past the destination's memory of a key, another attempt could take effect twice.
+    e = await fleet.endpoint("a", answer(500), answer(500), answer(500))
+    client = await fleet.inside()
+    await client.put("m1", kind="keyed", key="k")
+    assert (await fleet.discovery.final())["id"] == "m1"
+    for _ in range(3):
+        await e.call()
+    await client.put("m2", kind="keyed", key="k")
+    assert (await e.call())[1]["idempotency-key"] == "k"  # inside the window
+    fleet.host.journal.keys["k"] = time.time() - 20
+    assert (await client.put("m3", kind="keyed", key="k")).startswith("-BUSY")
+    assert e.calls.empty()
