A refusal with no told wait says when to come again

Cause: such refusals went out with no time, as nothing was told; the client then came back by its own habit. Taken: half the longest wait that clients heed, where the message has that much time left.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -78,8 +78,7 @@
         self.state = EndpointState.READY
         self.out: dict[int, Call] = {}  # calls in flight, oldest first
         self.idle: list[int] = []  # when each idle connection came free
-        self.bad = self.dirty = 0.0
-        self.dirty_at = self.last_ok = 0
+        self.bad, self.dirty, self.dirty_at, self.last_ok = 0.0, 0.0, 0, 0
         self.c = lane.circuit or Circuit()
 
 
@@ -91,8 +90,7 @@
         self.endpoints: dict[int, Endpoint] = {}
         self.listed = 0.0  # this courier's part of the listed rate, 0 if none
         self.rate = self.brink = 0.0  # calls a second that it is paced to, 0 = not; pace last refused
-        self.tokens, self.stamp = 1.0, 0
-        self.wait_until = self.cut_at = 0
+        self.tokens, self.stamp, self.wait_until, self.cut_at = 1.0, 0, 0, 0
         self.refused = 0.0  # share of calls refused as full
         self.window, self.out, self.fulls = 1.0, 0, 0
         self.mean = self.dev = 0.0  # latency
@@ -247,8 +245,7 @@
         full = len(self.messages) >= self.s.max_held - 1
         if full != self.crowded and (full or len(self.messages) < self.s.max_held * 0.8):
             self.crowded = full
-            used = f"{self.out} of {self.s.slots} slots"
-            self.actions.append(Log(f"room for held messages {'full' if full else 'free again'}, {used}"))
+            self.actions.append(Log(f"held: {'full' if full else 'room'}; {self.out}/{self.s.slots} slots"))
         dest.queue.append(m)
         if m.key:
             self.keys.setdefault(m.key, []).append(m)
@@ -498,6 +495,9 @@
         if e is Effect.SAFE or harmless:
             if m.until - self.now > max(self.s.max_retry_after_us, m.cls.aim_us):
                 self.unreturned += 1
+            # None was told: half the longest wait that clients heed, where that leaves the message some time.
+            if not wait and m.until - self.now > self.s.max_retry_after_us:
+                wait = self.s.max_retry_after_us // 2
             self.actions.append(Refuse(m.id, min(wait, self.s.max_retry_after_us)))
         else:
             self.actions.append(Fail(m.id))
