--- a/hopmill/net/config.py
+++ b/hopmill/net/config.py
@@ -57,7 +57,7 @@
         state=state, seed=_seed(raw.get("seed", 0)),
         sockets=int(_number(limits, "sockets", 1024)),
         disk_bytes=int(_number(limits, "disk_mb", 3) * 1_000_000),
-        known=_mapping(raw, "known"), settings=_settings(given),
+        known=_known(_mapping(raw, "known")), settings=_settings(given),
         zones=tuple(str(z) for z in given.get("localities") or ()))
 
 
@@ -83,6 +83,13 @@
     return value
 
 
+def _known(known: dict[str, Any]) -> dict[str, Any]:
+    rev, targets = known.get("rev", 0), known.get("targets", [])
+    if not isinstance(rev, int) or not isinstance(targets, list):
+        raise ConfigError("known: must hold a whole number rev and a list targets")
+    return {"rev": rev, "targets": targets}
+
+
 def _number(limits: dict[str, Any], field: str, default: float) -> float:
     value = limits.get(field, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)) or value <= 0:
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -57,11 +57,11 @@
                            int(config.sockets * IDLE_SHARE))
         self.clients = ClientServer(self.put, max(8, int(config.sockets * CLIENT_SHARE)))
         self.notices = Notices(loop, config.discovery, self._accepted)
-        self.watch = Watch(loop, config.discovery, int(config.known.get("rev", 0)), self.listed)
+        self.watch = Watch(loop, config.discovery, config.known["rev"], self.listed)
 
     async def start(self) -> int:
         """Restore, take the first turn, then listen: a PING is answered from here on. Returns the port."""
-        self.listed({"all": True, "targets": self.config.known.get("targets", [])}, i.ListForm.CACHED)
+        self.listed({"all": True, "targets": self.config.known["targets"]}, i.ListForm.CACHED)
         for m in list(self.journal.held.values()):
             self._restore(m)
         self.turn()
@@ -189,7 +189,9 @@
             if old.key == m.key and not old.status:
                 m.ran_at = m.ran_at or old.may_have_run_at
                 self.tell(i.MessageGone(old.number))
+                last = self.attempts.get(old.number, 0) - 1
                 self._end(old, "deferred", 0)
+                self.calls.cancel(old.number, last)
                 return
 
     def _take(self, m: Held, replies: list[Reply]) -> None:
--- a/hopmill/net/state.py
+++ b/hopmill/net/state.py
@@ -118,9 +118,10 @@
 
     def take(self, m: Held) -> None:
         """The message is taken on."""
-        cost = 2 * (self.live + m.bytes) + SPARE_BYTES
-        if blocks(cost) > self.limit:
-            raise JournalFull(f"no room for {m.bytes} bytes")
+        if not self._room(m.bytes):
+            self.compact()  # it may be ids and keys that nobody needs any more
+            if not self._room(m.bytes):
+                raise JournalFull(f"no room for {m.bytes} bytes")
         self._write(m.record())
 
     def attempt(self, numbers: list[int], at: float) -> None:
@@ -160,6 +161,10 @@
         self.size += written
         self._apply(record)
 
+    def _room(self, more: int) -> bool:
+        """Whether two copies of all that is open, and of this, would stay under the limit."""
+        return blocks(2 * (self.live + more) + SPARE_BYTES) <= self.limit
+
     def _fits(self, more: int) -> bool:
         """Whether a compacted copy could still stand beside the file."""
         return blocks(self.size + more) + blocks(self.live + SPARE_BYTES) <= self.limit
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import socket
 import struct
@@ -249,11 +250,14 @@
         self.host = Host(asyncio.get_running_loop(), load(self.env()))
         return await Client().open(await self.host.start())
 
-    async def outside(self):
+    async def outside(self, files=0):
         """Start the courier in a process of its own; returns a client of it."""
+        def limit():
+            if files:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (files, files))
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "hopmill", env={**os.environ, **self.env()}, cwd=ROOT,
-            stderr=asyncio.subprocess.PIPE)
+            stderr=asyncio.subprocess.PIPE, preexec_fn=limit)
         while True:
             line = (await bounded(self.process.stderr.readline())).decode()
             assert line, "the courier ended"
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -307,3 +307,17 @@
     fleet.host.journal.keys["k"] = time.time() - 20
     assert (await client.put("m3", kind="keyed", key="k")).startswith("-BUSY")
     assert e.calls.empty()
+
+
+@courier
+async def test_a_key_that_is_still_open_is_taken_over_by_the_newer_message(fleet):
+    # A client that heard no answer in time hands its message in anew: two copies must not be out at once.
+    e = await fleet.endpoint("a", "hang")
+    client = await fleet.inside()
+    await client.put("m1", kind="keyed", key="k")
+    await e.call()
+    await client.put("m2", kind="keyed", key="k")
+    assert (await fleet.discovery.final()) == {"id": "m1", "status": "deferred"}
+    await bounded(e.ended.get())  # the older call was given up
+    path, headers, *_ = await e.call()
+    assert (headers["x-request-id"], headers["idempotency-key"]) == ("m2", "k")
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -1,11 +1,14 @@
 """The courier as a process of its own: killed, terminated, started again."""
 
 import asyncio
+import contextlib
 import os
 import signal
+import subprocess
+import sys
 import time
 
-from loopback import Client, Fleet, answer, bounded
+from loopback import ROOT, Client, Fleet, answer, bounded
 
 from hopmill.net.state import Held, Journal, frame
 
@@ -171,3 +174,39 @@
     journal = Journal(tmp_path, 100_000)
     assert journal.last == 5 and path.stat().st_size == len(good)
     journal.close()
+
+
+@courier
+async def test_running_out_of_files_does_not_end_it(fleet):
+    # More clients than descriptors: the longest unused are closed, the process and its calls go on.
+    e = await fleet.endpoint("a")
+    fleet.limits["sockets"] = 40
+    await fleet.outside(files=40)
+    crowd = []
+    for _ in range(80):
+        with contextlib.suppress(OSError):
+            crowd.append(await Client().open(fleet.port))
+    for client in crowd:
+        client.writer.close()
+    late = await Client().open(fleet.port)
+    assert await late.put("m") == "+OK"
+    assert (await e.call())[1]["x-request-id"] == "m"
+    assert fleet.process.returncode is None
+
+
+def test_a_wrong_configuration_ends_with_one_line_and_status_2(tmp_path):
+    env = {**os.environ, "LB_CONFIG": str(tmp_path / "none"), "LB_STATE": str(tmp_path)}
+    command = [sys.executable, "-m", "hopmill"]
+    done = subprocess.run(command, env=env, cwd=ROOT, capture_output=True, text=True, timeout=20)
+    assert done.returncode == 2 and done.stderr.startswith("hopmill: LB_CONFIG: ")
+    assert done.stderr.count("\n") == 1
+
+
+def test_ids_that_nobody_needs_any_more_do_not_keep_new_messages_out(tmp_path):
+    # They are forgotten only when the journal is compacted: a small limit filled up with them before.
+    journal = Journal(tmp_path, 60_000)
+    for n in range(2000):
+        journal.take(Held(n, f"m{n}", 0, 0, 7, "", time.time() + 9, False, b"x"))
+        journal.done(n)
+        journal.over = {ident: 0.0 for ident in journal.over}  # long ago
+    journal.close()
