Tests that bite where two changes to the code went unseen

Cause: four lines were broken on purpose to see whether the tests notice: the attempt's record and the delivered record were noticed, the look for a stale connection and the last look for waits and drains were not. Ruled out for the first: the loop mostly reads the end before the next call, so the test now holds the loop. Conclusion: both guards are now tested.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -268,3 +268,13 @@
     async def kill(self):
         self.process.send_signal(signal.SIGKILL)
         await bounded(self.process.wait())
+
+
+def courier(test):
+    """Runs a test with a fleet."""
+    def run(tmp_path):
+        async def inner():
+            async with Fleet(tmp_path) as fleet:
+                await test(fleet)
+        asyncio.run(inner())
+    return run
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -208,3 +208,33 @@
         o.calls.close()
         await endpoint.stop()
     asyncio.run(run())
+
+
+def test_an_end_that_the_loop_has_not_read_yet_is_seen_before_reuse():
+    # Closed by the endpoint in the moment of the call: written to it, the call would count as a reset.
+    async def run():
+        listener = socket.create_server(("127.0.0.1", 0))
+        end, ended = threading.Event(), threading.Event()
+
+        def serve():
+            for _ in range(2):
+                peer, _ = listener.accept()
+                peer.recv(65536)
+                peer.sendall(answer(200))
+                end.wait(10)
+                peer.close()
+                ended.set()
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        o = Outcomes()
+        port = listener.getsockname()[1]
+        await o.send(port, "a")
+        end.set()
+        ended.wait(10)  # holds the loop: nothing tells it of the end
+        assert (await o.send(port, "b"))[0][1].result is Result.OK
+        assert o.calls.opened == 2
+        o.calls.close()
+        thread.join()
+        listener.close()
+    asyncio.run(run())
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -2,23 +2,15 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 import pytest
-from loopback import Client, Discovery, Fleet, answer, bounded, settings
+from loopback import Client, Discovery, Fleet, answer, bounded, courier, settings
 
+from hopmill.interface import EndpointState
 from hopmill.net.config import ConfigError, load
 
 
-def courier(test):
-    """Runs a test with a fleet."""
-    def run(tmp_path):
-        async def inner():
-            async with Fleet(tmp_path) as fleet:
-                await test(fleet)
-        asyncio.run(inner())
-    return run
-
-
 @courier
 async def test_a_message_goes_on_unchanged(fleet):
     e = await fleet.endpoint("a")
@@ -321,3 +313,22 @@
     await bounded(e.ended.get())  # the older call was given up
     path, headers, *_ = await e.call()
     assert (headers["x-request-id"], headers["idempotency-key"]) == ("m2", "k")
+
+
+@pytest.mark.parametrize("news", ["wait", "drain"])
+def test_news_holds_for_calls_that_were_decided_before_it(tmp_path, news):
+    # It can come while a connection is made for a call: the host looks once more before it writes.
+    async def run():
+        async with Fleet(tmp_path) as fleet:
+            e = await fleet.endpoint("a")
+            client = await fleet.inside()
+            host = fleet.host
+            number = host.uids["a"]
+            if news == "wait":
+                host._told_wait(number, 60_000_000)
+            else:
+                host.entries[number] = replace(host.entries[number], state=EndpointState.DRAINING)
+            assert await client.put("m", kind="unsafe") == "+OK"
+            assert (await fleet.discovery.final())["status"] == "deferred"  # it never ran
+            assert e.calls.empty()
+    asyncio.run(run())
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -8,20 +8,11 @@
 import sys
 import time
 
-from loopback import ROOT, Client, Fleet, answer, bounded
+from loopback import ROOT, Client, answer, bounded, courier
 
 from hopmill.net.state import Held, Journal, frame
 
 
-def courier(test):
-    def run(tmp_path):
-        async def inner():
-            async with Fleet(tmp_path) as fleet:
-                await test(fleet)
-        asyncio.run(inner())
-    return run
-
-
 @courier
 async def test_what_was_taken_on_outlasts_sigkill(fleet):
     # In flight when the process dies: each may have run, so only what may be repeated goes again.
