SIGHUP: the configuration's file is read again, watch and notices move at once

Ruled out: a crash in the reading of the file or in the watch; nothing was logged before the end, and a probe process died by the signal alone.

Now a Reloader reads the file on each SIGHUP, and again after growing waits while it lacks or is half written (the old address stays in force). The watch is opened at the new address at once from its last version on, and notices unanswered at the old one are sent to the new one.

--- a/hopmill/__main__.py
+++ b/hopmill/__main__.py
@@ -11,6 +11,7 @@
 
 from hopmill.net.config import Config, ConfigError, load
 from hopmill.net.host import Host
+from hopmill.net.reload import Reloader
 
 
 class Bounded(logging.Filter):
@@ -31,12 +32,15 @@
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     host = Host(loop, config)
+    reloader = Reloader(loop, os.environ, host.move)
+    loop.add_signal_handler(signal.SIGHUP, reloader.hup)  # unhandled it would end the process
     loop.add_signal_handler(signal.SIGTERM, host.terminate)
     loop.add_signal_handler(signal.SIGINT, host.terminate)
     port = await host.start()
     logging.info("%s is ready on port %d with %d messages restored", config.name, port,
                  len(host.journal.held))
     await host.closed
+    reloader.stop()
     host.close()
 
 
--- a/hopmill/net/config.py
+++ b/hopmill/net/config.py
@@ -61,6 +61,11 @@
         zones=tuple(str(z) for z in given.get("localities") or ()))
 
 
+def discovery(env: Mapping[str, str]) -> Address:
+    """Where discovery is by the file alone: once the file was replaced, the environment is the older word."""
+    return parse_address(_read(env).get("discovery"), "discovery")
+
+
 def _read(env: Mapping[str, str]) -> dict[str, Any]:
     path = env.get("LB_CONFIG")
     if not path:
--- a/hopmill/net/discovery.py
+++ b/hopmill/net/discovery.py
@@ -80,6 +80,13 @@
         if not self.stopped:
             self.after(self.backoff.next(), self.open)
 
+    def move(self, address: Address) -> None:
+        """Discovery is elsewhere now; what was out at the old address is void."""
+        self.address = address
+        self.backoff.reset()
+        if self.connection is not None:
+            self.connection.close()
+
     def stop(self) -> None:
         self.stopped = True
         if self.timer:
@@ -97,6 +104,11 @@
         self.rev, self.told = rev, told
         self.tail, self.status = b"", 0
 
+    def move(self, address: Address) -> None:
+        """Follow the list at the new address at once, from the last version on."""
+        super().move(address)
+        self.open()
+
     def ready(self) -> None:
         assert self.connection is not None
         self.tail, self.status = b"", 0
@@ -160,6 +172,12 @@
             self.busy = True
             self.loop.call_soon(self._next)
 
+    def move(self, address: Address) -> None:
+        """What is unanswered goes to the new address at once: twice told does no harm."""
+        super().move(address)
+        if self.busy:
+            self.open()
+
     def _next(self) -> None:
         if not self.waiting:
             self.busy = False
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -12,7 +12,7 @@
 from hopmill.brain import Courier
 from hopmill.net.calls import Calls, Hooks, Item, Outcome
 from hopmill.net.clients import BadRequest, ClientServer, Put, Reply
-from hopmill.net.config import Config, ConfigError, parse_address
+from hopmill.net.config import Address, Config, ConfigError, parse_address
 from hopmill.net.discovery import Notices, Watch
 from hopmill.net.state import Held, Journal
 
@@ -361,6 +361,13 @@
                 self.calls.close_idle(entry.endpoint)
         self.tell(i.EndpointsListed(form, tuple(entries)))
 
+    def move(self, discovery: Address) -> None:
+        """Discovery is at another address: the watch and the notices both go there."""
+        if discovery != self.watch.address:
+            log.info("discovery moves to %s:%d", *discovery)
+            self.watch.move(discovery)
+            self.notices.move(discovery)
+
     def _gone(self, endpoint: int) -> None:
         self.entries.pop(endpoint, None)
         self.calls.forget(endpoint)
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,60 @@
+"""SIGHUP: the courier reads its configuration again and follows discovery to where the file says it is."""
+
+import asyncio
+import json
+import signal
+
+from loopback import Discovery, answer, bounded, courier
+
+
+def rewrite(fleet, port):
+    path = fleet.folder / "config.json"
+    raw = json.loads(path.read_text())
+    raw["discovery"] = f"127.0.0.1:{port}"
+    path.write_text(json.dumps(raw))
+
+
+@courier
+async def test_sighup_moves_the_watch_and_the_notices(fleet):
+    # Unhandled, SIGHUP ends the process.
+    e = await fleet.endpoint("a", answer(200), answer(500))
+    client = await fleet.outside()
+    assert (await bounded(fleet.discovery.watches.get())).endswith("from=1")
+    new = await Discovery().start()
+    new.rev, new.targets = 2, dict(fleet.discovery.targets)
+    new.target("b", e.port, 8)
+    (fleet.folder / "config.json").rename(fleet.folder / "old.json")
+    fleet.process.send_signal(signal.SIGHUP)  # the file lacks, then is half written: the old one stays
+    (fleet.folder / "half.json").write_text((fleet.folder / "old.json").read_text()[:50])
+    (fleet.folder / "half.json").rename(fleet.folder / "config.json")
+    fleet.process.send_signal(signal.SIGHUP)
+    assert await client.put("m1") == "+OK"
+    assert (await e.call())[1]["x-request-id"] == "m1" and new.watches.empty()
+    (fleet.folder / "old.json").rename(fleet.folder / "config.json")
+    rewrite(fleet, new.port)  # found by the courier itself: no further signal comes
+    assert (await bounded(new.watches.get())).endswith("from=1")
+    assert await client.put("u1", kind="unsafe") == "+OK"
+    assert await new.final() == {"id": "u1", "status": "undeliverable"}
+    assert fleet.discovery.finals.empty() and fleet.process.returncode is None
+    await new.stop()
+
+
+@courier
+async def test_notices_unanswered_at_the_old_address_are_sent_to_the_new_one(fleet):
+    class Mute(Discovery):
+        async def serve(self, reader, writer):
+            await reader.read()
+
+    await fleet.endpoint("a", answer(500))
+    fleet.discovery = await Mute().start()
+    fleet.discovery.target("a", fleet.endpoints["a"].port, 7)
+    client = await fleet.inside()
+    assert await client.put("u1", kind="unsafe") == "+OK"
+    while not fleet.host.notices.sent:
+        await asyncio.sleep(0.01)
+    new = await Discovery().start()
+    new.targets = fleet.discovery.targets
+    fleet.host.move(("127.0.0.1", new.port))
+    assert await new.final() == {"id": "u1", "status": "undeliverable"}
+    await bounded(new.watches.get())
+    await new.stop()
