Bad clients: own accepting and framing, each length checked first, an end for what never becomes whole

By reading: hiredis allocates for a told array length, nothing ever ended a connection with no whole request, and a destination that stood in no list was taken on.

Now net/resp.py checks every length before anything is kept (it replaces hiredis), net/clients.py accepts 16 a turn and makes room first: never-useful connections go first, none with a request open. A request must be whole within 2 s; idle ones go after 3 s; three strikes with growing pauses close one that goes on with what was turned down; over 32 requests at once close too; unread answers are bounded.

--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -3,19 +3,30 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import errno
 import hashlib
 import logging
 import re
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import hiredis
-
-MAX_BODY = 64 * 1024
-MAX_REQUEST = 4 * MAX_BODY  # bytes of one unfinished request; over this its framing is given up
+from hopmill.net.resp import FramingError, RequestReader
+
+READ_BYTES = 1 << 16
+ACCEPTS = 16  # connections taken up in one turn: the usual clients wait for the turn's end
+PIPELINE = 32  # requests of one connection that may wait or be read at once; clients send one at a time
+UNSENT = 1 << 16  # bytes of answers that a client may leave unread
+STRIKES = 3  # requests of one connection that can't be used, then it is closed
+PAUSE_S = 0.1  # a connection is not read from for so long after the first of them, then twice as long
+WHOLE_S = 2.0  # a request must be whole within this, the first one from when the client connected
+IDLE_S = 3.0  # a connection that was of use is kept for so long with no request open
+SWEEP_S = 0.25
+REST_S = 0.05  # accepting rests for so long when no descriptor can be freed
+NO_FILES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 WORD = re.compile(rb"[\x21-\x7e]{1,256}")
-NOTHING = object()
 log = logging.getLogger(__name__)
 
 
@@ -59,8 +70,6 @@
     order, ident, named, body = args
     if not WORD.fullmatch(ident):
         raise BadRequest("id: must be printable characters")
-    if len(body) > MAX_BODY:
-        raise BadRequest("body: over 65536 bytes")
     try:
         fields = dict(pair.split("=", 1) for pair in named.decode().split(",") if pair)
     except ValueError:
@@ -77,12 +86,14 @@
 class Reply:
     """The place of one answer; answers leave in the order of their requests."""
 
+    __slots__ = ("client", "text")
+
     def __init__(self, client: Client) -> None:
         self.client, self.text = client, b""
 
     @property
     def wanted(self) -> bool:
-        return not self.client.gone
+        return not self.client.closed
 
     def send(self, text: bytes) -> None:
         if not self.text:
@@ -90,93 +101,165 @@
             self.client.flush()
 
 
-class Client(asyncio.Protocol):
-    """One client's connection."""
+class Client:
+    """One client's connection, on a non-blocking socket."""
 
-    def __init__(self, server: ClientServer) -> None:
-        self.server = server
-        self.reader = hiredis.Reader(notEnoughData=NOTHING)
+    def __init__(self, server: ClientServer, sock: socket.socket) -> None:
+        self.server, self.sock, self.loop = server, sock, server.loop
+        self.reader = RequestReader()
         self.pending: deque[Reply] = deque()
-        self.unread = 0
-        self.gone = self.closing = False
-        self.transport: asyncio.Transport
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport  # type: ignore[assignment]
-        self.server.joined(self)
-
-    def connection_lost(self, error: Exception | None) -> None:
-        self.gone = True
-        self.server.left(self)
-
-    def eof_received(self) -> bool:
-        """A client that has ended its sending still gets the answers that it waits for."""
-        self.closing = True
-        return bool(self.pending)
-
-    def pause_writing(self) -> None:
-        self.transport.pause_reading()  # one that does not read its answers is not read from either
+        self.unsent = b""
+        self.closing = self.closed = False  # closing: nothing more is read, what is owed is still sent
+        self.useful = False  # it has sent a request that could be used
+        self.strikes = 0
+        self.due = self.loop.time() + WHOLE_S  # when it is closed, unless a whole request has come
+        self.pause: asyncio.TimerHandle | None = None
+        self.loop.add_reader(sock, self._readable)
 
-    def resume_writing(self) -> None:
-        self.transport.resume_reading()
+    # Reading
 
-    def data_received(self, data: bytes) -> None:
-        if self.closing:
+    def _readable(self) -> None:
+        try:
+            data = self.sock.recv(READ_BYTES)
+        except (BlockingIOError, InterruptedError):
             return
-        self.server.touch(self)
+        except OSError:
+            self.close()
+            return
+        if not data:  # a client that has ended its sending still gets the answers that it waits for
+            self._stop_reading()
+            self.flush()
+            return
+        if self.useful and not self.reader.midway:
+            self.due = self.loop.time() + WHOLE_S
         self.reader.feed(data)
-        self.unread += len(data)
+        self._requests()
+
+    def _requests(self) -> None:
+        """Handle what is whole. Bounded: the buffer holds a few requests, and no more wait than PIPELINE."""
+        handled = 0
         try:
-            while (request := self.reader.gets()) is not NOTHING:
-                self.unread = 0
+            while not self.closing and self.pause is None:
+                request = self.reader.next()
+                if request is None:
+                    return
+                handled += 1
+                if handled > PIPELINE or len(self.pending) >= PIPELINE:
+                    raise FramingError("too many requests at once")
                 self._handle(request)
-            if self.unread > MAX_REQUEST:
-                raise hiredis.ProtocolError("request too large")
-        except hiredis.ProtocolError as error:  # where the next request begins can't be known any more
-            self.closing = True
+        except FramingError as error:
+            self._stop_reading()
             self._reply().send(b"-ERR Protocol error: %s\r\n" % _line(str(error)))
 
-    def _reply(self) -> Reply:
-        self.pending.append(Reply(self))
-        return self.pending[-1]
-
-    def _handle(self, request: object) -> None:
+    def _handle(self, request: list[bytes]) -> None:
         reply = self._reply()
-        if not isinstance(request, list) or not request or not all(isinstance(a, bytes) for a in request):
-            reply.send(b"-ERR expected an array of bulk strings\r\n")
-            return
-        name = request[0].upper()
-        if name == b"PING" and len(request) <= 2:
-            reply.send(b"$%d\r\n%s\r\n" % (len(request[1]), request[1]) if request[1:] else b"+PONG\r\n")
-        elif name == b"MSG.PUT":
-            try:
+        name = request[0].upper() if request else b""
+        try:
+            if name == b"MSG.PUT":
                 self.server.put(parse_put(request[1:]), reply)
-            except BadRequest as error:
-                log.warning("a message was turned down: %s", error)
-                reply.send(b"-ERR %s\r\n" % _line(str(error)))
-        elif name == b"QUIT":
-            self.closing = True
-            reply.send(b"+OK\r\n")
+            elif name == b"PING" and len(request) <= 2:
+                reply.send(b"$%d\r\n%s\r\n" % (len(request[1]), request[1]) if request[1:] else b"+PONG\r\n")
+            elif name == b"QUIT":
+                self._stop_reading()
+                reply.send(b"+OK\r\n")
+            else:
+                raise BadRequest("unknown command")
+        except BadRequest as error:
+            self._turn_down(reply, error)
+        else:
+            self.useful = True
+
+    def _turn_down(self, reply: Reply, error: BadRequest) -> None:
+        """One that asks the same again as soon as it is turned away must not take the others' turns: it is
+        read again after a pause, and closed on the last strike."""
+        log.warning("a request was turned down: %s", error)
+        self.strikes += 1
+        if self.strikes >= STRIKES:
+            self._stop_reading()
         else:
-            reply.send(b"-ERR unknown command\r\n")
+            self.loop.remove_reader(self.sock)
+            self.pause = self.loop.call_later(PAUSE_S * 2 ** (self.strikes - 1), self._resume)
+        reply.send(b"-ERR %s\r\n" % _line(str(error)))
+
+    def _resume(self) -> None:
+        self.pause = None
+        if not self.closed and not self.closing:
+            self.loop.add_reader(self.sock, self._readable)
+            self._requests()
+
+    def _stop_reading(self) -> None:
+        self.closing = True
+        if not self.closed:
+            self.loop.remove_reader(self.sock)
+
+    # Answering
+
+    def _reply(self) -> Reply:
+        self.pending.append(Reply(self))
+        return self.pending[-1]
 
     def flush(self) -> None:
-        out = []
+        """Send the answers whose turn it is; a connection that is ending closes after the last."""
         while self.pending and self.pending[0].text:
-            out.append(self.pending.popleft().text)
-        if out and not self.gone:
-            self.transport.write(b"".join(out))
-        if self.closing and not self.pending:
-            self.transport.close()
+            self.unsent += self.pending.popleft().text
+        if self.closed:
+            return
+        if self.unsent:
+            self._write()
+        if not self.pending:
+            self.due = self.loop.time() + (IDLE_S if self.useful else WHOLE_S)
+        if self.closing and not self.pending and not self.unsent:
+            self.close()
+
+    def _write(self) -> None:
+        try:
+            sent = self.sock.send(self.unsent)
+        except (BlockingIOError, InterruptedError):
+            sent = 0
+        except OSError:
+            self.close()
+            return
+        self.unsent = self.unsent[sent:]
+        if len(self.unsent) > UNSENT:  # it does not read its answers
+            self.close()
+        elif self.unsent:
+            self.loop.add_writer(self.sock, self._writable)
+
+    def _writable(self) -> None:
+        self.loop.remove_writer(self.sock)
+        self.flush()
+
+    # The end
 
     @property
     def between_requests(self) -> bool:
-        return not self.pending and not self.unread
+        return not self.pending and not self.unsent and not self.reader.midway
+
+    def overdue(self, now: float) -> None:
+        """Close what has no request open for too long, also one that never becomes whole."""
+        if now < self.due or self.pending:
+            return
+        if self.reader.midway and not self.closing:
+            self._stop_reading()
+            self._reply().send(b"-ERR the request did not become whole in time\r\n")
+        else:
+            self.close()
 
     def finish(self) -> None:
         """Close once nothing is pending."""
         if self.between_requests:
-            self.transport.close()
+            self.close()
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = self.closing = True
+        self.loop.remove_reader(self.sock)
+        self.loop.remove_writer(self.sock)
+        if self.pause is not None:
+            self.pause.cancel()
+        self.sock.close()
+        self.server.left(self)
 
 
 def _line(text: str) -> bytes:
@@ -184,37 +267,97 @@
 
 
 class ClientServer:
-    """Accepts clients; `put` takes what they hand in."""
+    """Accepts clients; `put` takes what they hand in.
+
+    Accepting is done here and not by asyncio's server, which takes up its whole backlog in one turn, before
+    anything can be closed, and rests for a second when descriptors run out.
+    """
 
     def __init__(self, put: Callable[[Put, Reply], None], max_clients: int) -> None:
         self.put, self.max_clients = put, max_clients
-        self.clients: dict[Client, None] = {}  # the longest unused first
-        self.server: asyncio.Server | None = None
-        self.ending = False
+        self.clients: dict[Client, None] = {}  # the oldest first
+        self.loop = asyncio.get_event_loop()
+        self.sock: socket.socket | None = None
+        self.timers: dict[str, asyncio.TimerHandle] = {}
 
-    async def listen(self, host: str, port: int) -> int:
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: Client(self), host, port, backlog=512)
-        return self.server.sockets[0].getsockname()[1]
+    @property
+    def listening(self) -> bool:
+        return self.sock is not None
 
-    def joined(self, client: Client) -> None:
-        self.clients[client] = None
-        if len(self.clients) > self.max_clients:  # open files must stay under the limit
-            spare = next((c for c in self.clients if c.between_requests), client)
-            spare.transport.close()
+    async def listen(self, host: str, port: int) -> int:
+        self.loop = asyncio.get_running_loop()
+        self.sock = socket.create_server((host, port), backlog=512,
+                                         family=socket.AF_INET6 if ":" in host else socket.AF_INET)
+        self.sock.setblocking(False)
+        self._accepting()
+        self._sweep()
+        return self.sock.getsockname()[1]
+
+    def _accepting(self) -> None:
+        if self.sock is not None:
+            self.loop.add_reader(self.sock, self._accept)
+
+    def _rest(self) -> None:
+        """No descriptor can be freed: those that wait are taken up a little later."""
+        if self.sock is not None:
+            self.loop.remove_reader(self.sock)
+            self.timers["rest"] = self.loop.call_later(REST_S, self._accepting)
+
+    def _accept(self) -> None:
+        for _ in range(ACCEPTS):
+            if self.sock is None:
+                return
+            if len(self.clients) >= self.max_clients and not self._make_room():
+                self._rest()
+                return
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                log.error("accepting: %s", error)
+                if error.errno not in NO_FILES or not self._make_room():
+                    self._rest()
+                    return
+                continue
+            sock.setblocking(False)
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.clients[Client(self, sock)] = None
+
+    def _make_room(self) -> bool:
+        """Close the oldest that was never of use, else the longest idle; never one with a request open."""
+        spare = next((c for c in self.clients if not c.useful and not c.pending), None)
+        if spare is None:
+            idle = [c for c in self.clients if c.between_requests]
+            spare = min(idle, key=lambda c: c.due, default=None)
+        if spare is not None:
+            spare.close()
+        return spare is not None
+
+    def _sweep(self) -> None:
+        now = self.loop.time()
+        for client in [c for c in self.clients if c.due <= now]:
+            client.overdue(now)
+        self.timers["sweep"] = self.loop.call_later(SWEEP_S, self._sweep)
 
     def left(self, client: Client) -> None:
         self.clients.pop(client, None)
 
-    def touch(self, client: Client) -> None:
-        if client in self.clients:
-            self.clients[client] = self.clients.pop(client)
-
     def stop_listening(self) -> None:
-        if self.server is not None:
-            self.server.close()
+        if self.sock is not None:
+            self.loop.remove_reader(self.sock)
+            self.sock.close()
+            self.sock = None
 
     def close_idle(self) -> None:
         """Close those between requests: one with a request unanswered would lose it."""
         for client in list(self.clients):
             client.finish()
+
+    def close(self) -> None:
+        self.stop_listening()
+        for timer in self.timers.values():
+            timer.cancel()
+        for client in list(self.clients):
+            client.close()
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -18,6 +18,7 @@
 
 STATES = {"in_service": i.EndpointState.READY, "terminating": i.EndpointState.DRAINING,
           "terminated": i.EndpointState.GONE}
+LONGEST = 10  # a message that wants to live longer than so many deadlines of its class is none of ours
 OVERDUE_S = 0.1  # a message this long past its time with no end is ended here: the last line of defence
 UNRUN = (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
 # Shares of the limit on open files; the rest is for calls, discovery, the journal and Python itself.
@@ -42,6 +43,7 @@
         self.zones = {z: n for n, z in enumerate(config.zones)}
         self.uids: dict[str, int] = {}
         self.entries: dict[int, i.ListEntry] = {}
+        self.dests: set[int] = set()  # that ever stood in a list: its endpoints may only be gone for now
         self.waits: dict[tuple[int, int], int] = {}  # told waits, by destination or route: when they end
         self.events: list[i.Event] = []
         self.arrived: dict[int, tuple[Held, list[Reply]]] = {}  # not answered yet
@@ -163,6 +165,10 @@
             raise BadRequest("t: no such tenant")
         if self.s.classes[cls].effect is i.Effect.KEYED and not put.key:
             raise BadRequest("k: lacks, and the class is keyed")
+        if put.life_ms * 1000 > LONGEST * self.s.classes[cls].deadline_us:
+            raise BadRequest("d: far over the deadline of the class")
+        if self.dests and put.dest not in self.dests:
+            raise BadRequest("dest: no such destination")
         if put.id in self.arriving:
             self.arrived[self.arriving[put.id]][1].append(reply)
             return
@@ -349,6 +355,7 @@
                 continue
             entries.append(entry)
             self.entries[entry.endpoint] = entry
+            self.dests.add(entry.destination)
             self.calls.place(entry.endpoint, address)
         if form is not i.ListForm.DELTA:
             named = {e.endpoint for e in entries}
@@ -401,8 +408,7 @@
     def _maybe_exit(self) -> None:
         # What still waits for its turn may be sent until the last call must have begun.
         done = not self.calls.out and not self.journal.held and not self.events and not self.arrived
-        listening = self.clients.server is not None and self.clients.server.is_serving()
-        if self.closing_at and done and not self.clients.clients and not listening:
+        if self.closing_at and done and not self.clients.clients and not self.clients.listening:
             self._exit()
 
     def _exit(self) -> None:
@@ -414,7 +420,7 @@
         self.watch.stop()
         self.notices.stop()
         self.calls.close()
-        self.clients.stop_listening()
+        self.clients.close()
         self.journal.close()
 
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -250,6 +250,9 @@
         self.host = Host(asyncio.get_running_loop(), load(self.env()))
         return await Client().open(await self.host.start())
 
+    def port_of_host(self):
+        return self.host.clients.sock.getsockname()[1]
+
     async def outside(self, files=0):
         """Start the courier in a process of its own; returns a client of it."""
         def limit():
