Spoilt answers: nothing is believed before it is whole, bodies are dropped or capped, odd connections closed

Now answers are read with httptools, which tells of the first line by itself and is C; 200 there ends a call with one message at once, all else only when the answer is whole and well formed. Left-over bytes that are no second copy make a "never ran" worth nothing. Single bodies are dropped, bundles kept up to 64 KiB, an answer that has begun has 0.5 s to become whole, heads and 1xx are bounded. Told waits of nan, inf or over 120 s are none. Deeply nested JSON no longer raises.

--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -16,7 +16,9 @@
 
 IDLE_SHARE = 0.75  # idle connections are closed at this share of the time at which the endpoint would
 IDLE_EACH = 8  # idle connections kept to one endpoint
-TAIL_S = 1.0  # how long the rest of an answer whose status line has come is waited for
+TAIL_S = 0.5  # an answer that has begun must be whole within this: one that can't end would hold its slot
+MAX_ANSWER = 64 * 1024  # bytes of its body, as the protocol has it
+MAX_WAIT_S = 120.0  # a told wait over this is none that a destination would tell
 STATES = {"done": Result.OK, "failed": Result.ERROR, "busy": Result.FULL, "void": Result.MOOT,
           "used_up": Result.MOOT}
 log = logging.getLogger(__name__)
@@ -80,18 +82,21 @@
 
 def told_wait(headers: dict[str, str]) -> int:
     try:
-        return max(0, int(float(headers.get("retry-after", "0")) * 1e6))
-    except (ValueError, OverflowError):
+        seconds = float(headers.get("retry-after", "0"))
+    except ValueError:
         return 0
+    return int(seconds * 1e6) if 0 < seconds <= MAX_WAIT_S else 0  # nor for nan
 
 
 def bundle_outcomes(body: bytes, wait_us: int) -> dict[str, Outcome]:
-    """Each one's end in a bundle's answer; unreadable ones lack."""
+    """Each one's end in a bundle's answer; none if it can't be read or names one twice."""
     try:
         rows = json.loads(body)
         states = {str(row["id"]): STATES[row["state"]] for row in rows}
         voids = {str(row["id"]) for row in rows if row["state"] in ("done", "void")}
-    except (ValueError, KeyError, TypeError):
+        if len(states) != len(rows):
+            return {}
+    except (ValueError, KeyError, TypeError, RecursionError):
         return {}
     return {i: Outcome(r, i in voids, wait_us) for i, r in states.items()}
 
@@ -103,7 +108,7 @@
         self.calls, self.endpoint, self.items = calls, endpoint, items
         self.path = path  # of a probe
         self.started = calls.loop.time()
-        self.status, self.headers, self.body = 0, {}, bytearray()
+        self.status, self.headers, self.body, self.received = 0, {}, bytearray(), 0
         self.connection: Connection | None = None
         longest = max((i.timeout_us for i in items), default=0)
         self.timers: list[asyncio.TimerHandle] = []
@@ -120,28 +125,60 @@
     def timer(self, delay: float, action: Callable[[], None]) -> None:
         self.timers.append(self.calls.loop.call_later(max(0.0, delay), action))
 
-    def end(self) -> None:
-        if self.path:
-            self.calls.probe_ended(self, Result.OK if self.status == 200 else Result.FULL)
-        elif self.status == 200 and len(self.items) > 1:
-            ends = bundle_outcomes(bytes(self.body), told_wait(self.headers))
-            for item in self.items:
-                # One that the answer leaves out may have run.
-                self.finish(item, ends.get(item.id, Outcome(Result.ERROR)))
-        self.calls.release(self)
+    @property
+    def bundle(self) -> bool:
+        return len(self.items) > 1
+
+    def begun(self) -> None:
+        self.timer(TAIL_S, self._unfinished)
+
+    def first_line(self, status: int) -> None:
+        """200 in the first line is true whatever follows, for a call with one message."""
+        if status == 200 and not self.path and not self.bundle:
+            self.finish_all(Outcome(Result.OK, over=True))
 
     def head(self, status: int, headers: dict[str, str]) -> None:
         self.status, self.headers = status, headers
         if wait := told_wait(headers):
             self.calls.hooks.told_wait(self.endpoint, wait)
-        if self.path or status == 200 and len(self.items) > 1:  # a bundle's counts once it is whole
-            return
-        for item in self.items:
-            self.finish(item, single_outcome(status, headers))
-        self.timer(TAIL_S, self.abandon)
 
     def data(self, data: bytes) -> None:
-        self.body += data
+        self.received += len(data)
+        if self.bundle and self.received <= MAX_ANSWER:
+            self.body += data
+        elif self.received > MAX_ANSWER and self.connection is not None:
+            self.calls.loop.call_soon(self._unfinished)  # it may say 3 GB and keep coming
+            self.connection.close()
+
+    def end(self, noise: bool) -> None:
+        """Whole and well formed: only now does an answer prove that the call never ran, or that it is over.
+        Behind a length that is too short the rest of the answer looks like noise, so with that it is none."""
+        if self.path:
+            self.calls.probe_ended(self, Result.OK if self.status == 200 else Result.FULL)
+        elif self.status == 200 and self.bundle:
+            wait = told_wait(self.headers)
+            ends = bundle_outcomes(bytes(self.body), wait)
+            for item in self.items:
+                # One that the answer leaves out may have run.
+                self.finish(item, ends.get(item.id, Outcome(Result.ERROR, wait_us=wait)))
+        elif noise:
+            self.finish_all(Outcome(Result.ERROR, wait_us=told_wait(self.headers)))
+        else:
+            self.finish_all(single_outcome(self.status, self.headers))
+        self.calls.release(self)
+
+    def spoilt(self) -> None:
+        """A failed attempt that may have run."""
+        if self.path:
+            self.calls.probe_ended(self, Result.ERROR)
+        self.finish_all(Outcome(Result.ERROR, wait_us=told_wait(self.headers)))
+        self.calls.release(self)
+
+    def _unfinished(self) -> None:
+        if self in self.calls.out:
+            if self.connection is not None:
+                self.connection.close()
+            self.spoilt()
 
     def lost(self, written: bool) -> None:
         if self.path:
--- a/hopmill/net/discovery.py
+++ b/hopmill/net/discovery.py
@@ -16,6 +16,7 @@
 CONNECT_S = 1.0
 AGAIN_S = (0.1, 1.0)  # first and longest ceiling of the wait before the next try
 NOTICE_S = 1.0  # a notice is answered at once: after this it is sent again
+MAX_LINE = 1 << 24  # bytes of one line of the watch
 BATCH = 200  # notices in one request
 log = logging.getLogger(__name__)
 
@@ -124,6 +125,9 @@
     def data(self, data: bytes) -> None:
         self.after(SILENCE_S, self.open)
         *lines, self.tail = (self.tail + data).split(b"\n")
+        if len(self.tail) > MAX_LINE:
+            self.retry()
+            return
         for line in lines:
             if line.strip():
                 self._line(line)
@@ -134,7 +138,7 @@
             rev, targets = int(change["rev"]), change["targets"]
             if not isinstance(targets, list):
                 raise ValueError("targets")
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
             log.error("discovery: a line that can't be read: %r", error)
             self.rev = 0  # what it said is lost: ask for all anew
             self.retry()
@@ -143,7 +147,7 @@
         self.rev = rev
         self.told(change)
 
-    def end(self) -> None:
+    def end(self, noise: bool) -> None:
         self.retry()
 
     def lost(self, written: bool) -> None:
@@ -201,7 +205,7 @@
     def head(self, status: int, headers: dict[str, str]) -> None:
         self.status = status
 
-    def end(self) -> None:
+    def end(self, noise: bool) -> None:
         if self.status == 204:
             self.backoff.reset()
             self._forget()
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -306,6 +306,8 @@
         return (entry.destination, endpoint if apart else -1)
 
     def _told_wait(self, endpoint: int, wait_us: int) -> None:
+        if endpoint not in self.entries:
+            return  # it has left the list: the decision module still heeds it for the destination
         key = self._wait_key(endpoint)
         self.waits[key] = max(self.waits.get(key, 0), self.clock() + wait_us)
 
--- a/hopmill/net/http.py
+++ b/hopmill/net/http.py
@@ -1,8 +1,8 @@
-"""One HTTP/1.1 client connection on a non-blocking socket, h11 for the protocol.
+"""One HTTP/1.1 client connection on a non-blocking socket, httptools (llhttp) for reading answers.
 
 A courier must know whether a request's last byte was written: before that, the call has provably never run.
 asyncio's transports hide it (a failed write looks like a whole one), so the socket is driven here.
-Nothing is ever sent again by itself.
+Nothing is ever sent again by itself, and a connection on which anything odd came is never used again.
 """
 
 from __future__ import annotations
@@ -13,38 +13,117 @@
 import socket
 from collections.abc import Callable, Sequence
 
-import h11
+import httptools
 
 from hopmill.net.config import Address
 
 Headers = Sequence[tuple[str, str]]
 LOCAL_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL})
 READ_BYTES = 1 << 16
+MAX_HEAD = 1 << 15  # bytes of an answer before its head is whole
+MAX_INTERIM = 16  # 1xx answers ahead of one
 
 
 class Exchange:
     """What one request is told of its answer; the methods here ignore all."""
 
+    def begun(self) -> None:
+        """A first part of the answer has come, not all of it."""
+
+    def first_line(self, status: int) -> None:
+        """The status line has come, of the answer itself and not of a 1xx one ahead of it."""
+
     def head(self, status: int, headers: dict[str, str]) -> None:
-        """The status line and the headers have come."""
+        """The headers are whole."""
 
     def data(self, data: bytes) -> None:
         """A part of the body has come."""
 
-    def end(self) -> None:
-        """The answer is whole."""
+    def end(self, noise: bool) -> None:
+        """The answer is whole; noise: what came right behind it is no answer."""
 
     def lost(self, written: bool) -> None:
         """The connection broke or ended first; written: the request's last byte had been written."""
 
+    def spoilt(self) -> None:
+        """The answer can't be read; the connection is closed."""
+        self.lost(True)
+
+
+class Answer:
+    """httptools' callbacks for one answer; what follows it is only noted."""
+
+    def __init__(self, exchange: Exchange) -> None:
+        self.exchange, self.parser = exchange, httptools.HttpResponseParser(self)
+        self.headers: dict[str, str] = {}
+        self.interim = self.status = 0
+        self.begun = self.headed = self.whole = self.again = False
+        self.more = self.copied = False  # something follows; and it is an answer too
+        self.head_bytes = 0
+
+    @property
+    def framed(self) -> bool:
+        return "content-length" in self.headers or "transfer-encoding" in self.headers
+
+    def on_message_begin(self) -> None:
+        self.more = self.whole
+        if not self.more:
+            self.headers = {}
+
+    def on_status(self, _: bytes) -> None:
+        self.copied = self.more
+        self._first_line()
+
+    def _first_line(self) -> None:
+        status = self.parser.get_status_code()
+        if not self.more and not self.status and status >= 200:
+            self.status = status
+            self.exchange.first_line(status)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.more:
+            self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        if self.more or self.parser.get_status_code() < 200:
+            return
+        self._first_line()  # one with no reason phrase
+        self.headed = True
+        self.exchange.head(self.status, self.headers)
+
+    def on_body(self, data: bytes) -> None:
+        if self.headed and not self.more:
+            self.exchange.data(data)
+
+    def on_message_complete(self) -> None:
+        if self.more:
+            return
+        if not self.headed:
+            self.interim += 1
+            return
+        self.whole, self.again = True, self.parser.should_keep_alive()
+
+    def feed(self, data: bytes) -> bool:
+        """Whether it can still be read."""
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.more = self.more or self.whole
+            return self.whole
+        if not self.headed:
+            self.head_bytes += len(data)
+        if not self.begun and not self.whole:
+            self.begun = True
+            self.exchange.begun()
+        return self.interim <= MAX_INTERIM and self.head_bytes <= MAX_HEAD
+
 
 class Connection:
     """Carries one exchange at a time."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address) -> None:
         self.loop, self.address = loop, address
-        self.http = h11.Connection(h11.CLIENT)
-        self.exchange: Exchange | None = None
+        self.answer: Answer | None = None
         self.on_close: Callable[[], None] = lambda: None
         self.closed = False
         self._out, self._sent = b"", 0
@@ -52,6 +131,10 @@
         self.sock = socket.socket(family, socket.SOCK_STREAM)  # OSError: see LOCAL_ERRORS
         self.sock.setblocking(False)
 
+    @property
+    def exchange(self) -> Exchange | None:
+        return self.answer.exchange if self.answer else None
+
     @property
     def written(self) -> bool:
         return self._sent == len(self._out)
@@ -90,15 +173,13 @@
         return True
 
     def request(self, method: str, target: str, headers: Headers, body: bytes, exchange: Exchange) -> None:
-        self.exchange = exchange
-        fields = [("Host", f"{self.address[0]}:{self.address[1]}"), *headers]
+        """Send one; what comes from clients into its headers was checked to be printable when it came."""
+        self.answer = Answer(exchange)
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {self.address[0]}:{self.address[1]}",
+                 *(f"{name}: {value}" for name, value in headers)]
         if method == "POST":
-            fields.append(("Content-Length", str(len(body))))
-        parts = [self.http.send(h11.Request(method=method, target=target, headers=fields))]
-        if body:
-            parts.append(self.http.send(h11.Data(data=body)))
-        parts.append(self.http.send(h11.EndOfMessage()))
-        self._out, self._sent = b"".join(p for p in parts if p), 0
+            lines.append(f"Content-Length: {len(body)}")
+        self._out, self._sent = "\r\n".join([*lines, "", ""]).encode("latin-1") + body, 0
         self._write()
 
     def _write(self) -> None:
@@ -121,41 +202,31 @@
             return
         except OSError:
             data = b""
-        if self.exchange is None:  # an end, or bytes that nobody asked for
+        answer = self.answer
+        if answer is None:  # an end, or bytes that nobody asked for
             self.close()
-            return
-        try:
-            self.http.receive_data(data)
-            self._events()
-        except h11.RemoteProtocolError:
-            self._lose()
-            return
-        if not data and not self.closed:
-            self._lose()
-
-    def _events(self) -> None:
-        while (exchange := self.exchange) is not None:
-            event = self.http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            if isinstance(event, h11.Response):
-                exchange.head(event.status_code, {k.decode("latin-1"): v.decode("latin-1")
-                                                  for k, v in event.headers})
-            elif isinstance(event, h11.Data):
-                exchange.data(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                self._ended(exchange)
-            elif isinstance(event, h11.ConnectionClosed):
+        elif not data:
+            # With no length and no chunks, the connection's end is the answer's.
+            if answer.headed and not answer.framed:
+                self._ended(answer)
+            else:
                 self._lose()
-
-    def _ended(self, exchange: Exchange) -> None:
-        self.exchange = None
-        again = self.written and self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
-        if again and not self.http.trailing_data[0]:
-            self.http.start_next_cycle()
-        else:
+        elif not answer.feed(data):
+            self._spoil()
+        elif answer.whole and not self.closed:
+            self._ended(answer)
+
+    def _ended(self, answer: Answer) -> None:
+        self.answer = None
+        if not self.written or not answer.again or answer.more:
             self.close()
-        exchange.end()
+        answer.exchange.end(answer.more and not answer.copied)
+
+    def _spoil(self) -> None:
+        exchange, written = self.exchange, self.written
+        self.close()
+        if exchange is not None:
+            exchange.spoilt() if written else exchange.lost(False)
 
     def _lose(self) -> None:
         exchange, written = self.exchange, self.written
@@ -167,7 +238,7 @@
         """End the connection; its exchange hears no more."""
         if self.closed:
             return
-        self.closed, self.exchange = True, None
+        self.closed, self.answer = True, None
         self.loop.remove_reader(self.sock)
         self.loop.remove_writer(self.sock)
         self.sock.close()
