--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -219,6 +219,7 @@
         self.idle_s, self.connect_s, self.max_idle = idle_us * IDLE_SHARE / 1e6, connect_us / 1e6, max_idle
         self.pools: dict[int, Pool] = {}
         self.out: set[Call] = set()
+        self.idle = 0  # connections, of all pools
         self.opened = self.reused = 0
 
     def place(self, endpoint: int, address: Address) -> None:
@@ -284,8 +285,9 @@
         while pool.idle:
             connection = pool.idle.pop()
             pool.timers.pop(connection).cancel()
+            self.idle -= 1
+            connection.on_close = lambda: None
             if not connection.stale():
-                connection.on_close = lambda: None
                 self.reused += 1
                 self._write(call, connection)
                 return
@@ -385,15 +387,16 @@
         if pool is None or pool.address != connection.address or self.idle_s <= 0:
             connection.close()
             return
-        if len(pool.idle) >= IDLE_EACH or sum(len(p.idle) for p in self.pools.values()) >= self.max_idle:
+        if len(pool.idle) >= IDLE_EACH or self.idle >= self.max_idle:
             connection.close()
             return
         pool.idle.append(connection)
+        self.idle += 1
         pool.timers[connection] = self.loop.call_later(self.idle_s, connection.close)
         connection.on_close = lambda: self._closed(pool, connection)
 
-    @staticmethod
-    def _closed(pool: Pool, connection: Connection) -> None:
+    def _closed(self, pool: Pool, connection: Connection) -> None:
         if connection in pool.timers:
+            self.idle -= 1
             pool.timers.pop(connection).cancel()
             pool.idle.remove(connection)
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -42,6 +42,8 @@
         self.kinds = {k.name: n for n, k in enumerate(self.s.kinds)}
         self.zones = {z: n for n, z in enumerate(config.zones)}
         self.uids: dict[str, int] = {}
+        self.names: dict[int, str] = {}  # the other way round
+        self.listed_ever = 0
         self.entries: dict[int, i.ListEntry] = {}
         self.dests: set[int] = set()  # that ever stood in a list: its endpoints may only be gone for now
         self.waits: dict[tuple[int, int], int] = {}  # told waits, by destination or route: when they end
@@ -175,7 +177,7 @@
         if put.id in self.journal.ids or put.id in self.journal.over:
             reply.send(b"+OK\r\n")  # handed in again on a new connection: it is, or was, taken care of
             return
-        if sum(not m.status for m in self.journal.held.values()) + len(self.arrived) >= self.s.max_held:
+        if self.journal.open + len(self.arrived) >= self.s.max_held:
             reply.send(refusal(self.courier.come_back_us()))
             return
         now = time.time()
@@ -189,16 +191,14 @@
 
     def _replace(self, m: Held) -> None:
         """A key that is still open here is handed in again only by a client that gave the older one up."""
-        if not m.key:
+        old = self.journal.held.get(self.journal.open_keys.get(m.key, 0))
+        if old is None:
             return
-        for old in self.journal.held.values():
-            if old.key == m.key and not old.status:
-                m.ran_at = m.ran_at or old.may_have_run_at
-                self.tell(i.MessageGone(old.number))
-                last = self.attempts.get(old.number, 0) - 1
-                self._end(old, "deferred", 0)
-                self.calls.cancel(old.number, last)
-                return
+        m.ran_at = m.ran_at or old.may_have_run_at
+        self.tell(i.MessageGone(old.number))
+        last = self.attempts.get(old.number, 0) - 1
+        self._end(old, "deferred", 0)
+        self.calls.cancel(old.number, last)
 
     def _take(self, m: Held, replies: list[Reply]) -> None:
         text = b"+OK\r\n"
@@ -244,7 +244,7 @@
             self.journal.final(m.number, status, again_ms)
         except OSError as error:  # sent all the same: to end it once more after a restart does no harm
             log.error("journal: %s", error)
-            m.status, m.again_ms = status, again_ms
+            self.journal.end(m, status, again_ms)
         self._unguard(m.number)
         self.attempts.pop(m.number, None)
         self.notices.add(m.number, m.id, status, again_ms)
@@ -378,11 +378,17 @@
             self.notices.move(discovery)
 
     def _gone(self, endpoint: int) -> None:
-        self.entries.pop(endpoint, None)
+        if entry := self.entries.pop(endpoint, None):
+            self.waits.pop((entry.destination, endpoint), None)
+        self.uids.pop(self.names.pop(endpoint, ""), None)  # an id that has gone does not come again
         self.calls.forget(endpoint)
 
     def _entry(self, target: dict[str, Any]) -> tuple[i.ListEntry, tuple[str, int]]:
-        number = self.uids.setdefault(str(target["uid"]), len(self.uids) + 1)
+        uid = str(target["uid"])
+        if uid not in self.uids:
+            self.listed_ever += 1
+            self.uids[uid], self.names[self.listed_ever] = self.listed_ever, uid
+        number = self.uids[uid]
         kind, zone = self.kinds.get(target.get("model", ""), 0), self.zones.get(target.get("az", ""), 0)
         entry = i.ListEntry(number, int(target["pod_group"]), STATES[target["state"]],
                             float(target.get("capacity_hint") or 0.0), kind, zone)
--- a/hopmill/net/state.py
+++ b/hopmill/net/state.py
@@ -21,9 +21,10 @@
 NAME, FRESH = "messages.journal", "messages.journal.new"
 BLOCK = 512  # files count in whole blocks
 EACH = 160  # bytes kept free for each message's later records
-SPARE_BYTES = 8192  # kept free for all else
-OVER_S = 30.0  # how long the id of a message that is over is known
-KEYS_S = 60.0  # and an idempotency key past its window
+MEMO = 24  # bytes that a remembered id or key takes in a compacted file, beside itself
+SPARE = 1 / 8  # of the limit is kept free: near it every record would need a compaction
+OVER_S = 2.0  # how long the id of a message that is over is known past its time
+KEYS_S = 2.0  # and an idempotency key past its window
 SMALL = 1 << 17  # a file under this is not worth compacting
 log = logging.getLogger(__name__)
 
@@ -64,6 +65,41 @@
         return len(self.body) + len(self.id) + len(self.key) + EACH
 
 
+class Memory:
+    """Remembers a text's time until it expires, by buckets of a second: nothing is ever searched for."""
+
+    def __init__(self) -> None:
+        self.known: dict[str, tuple[float, float]] = {}  # text: its time, when it expires
+        self.buckets: dict[int, list[str]] = {}
+        self.bytes = 0
+
+    def __contains__(self, text: str) -> bool:
+        return text in self.known
+
+    def __len__(self) -> int:
+        return len(self.known)
+
+    def at(self, text: str) -> float:
+        """The text's time, 0 if it is not known."""
+        return self.known[text][0] if text in self.known else 0.0
+
+    def add(self, text: str, at: float, expires: float) -> None:
+        if text not in self.known:
+            self.bytes += len(text) + MEMO
+        self.known[text] = at, expires
+        self.buckets.setdefault(int(expires) + 1, []).append(text)
+
+    def drop(self, text: str) -> None:
+        if self.known.pop(text, None):
+            self.bytes -= len(text) + MEMO
+
+    def expire(self, now: float) -> None:
+        for bucket in [b for b in self.buckets if b <= now]:
+            for text in self.buckets.pop(bucket):
+                if text in self.known and self.known[text][1] <= now:
+                    self.drop(text)
+
+
 def frame(record: list[Any]) -> bytes:
     payload = msgpack.packb(record)
     return FRAME.pack(len(payload), zlib.crc32(payload)) + payload
@@ -94,9 +130,12 @@
         self.limit, self.key_s = limit_bytes, key_window_s + KEYS_S
         self.held: dict[int, Held] = {}
         self.ids: dict[str, int] = {}
-        self.over: dict[str, float] = {}  # id: when it was over
-        self.keys: dict[str, float] = {}  # key: when the first attempt with it that may have run was sent
-        self.live = self.last = 0
+        self.open = 0  # messages held whose end is still owed
+        self.open_keys: dict[str, int] = {}  # theirs
+        self.over = Memory()  # ids of messages that are over
+        self.keys = Memory()  # keys, by when the first attempt with one that may have run was sent
+        self.open_bytes = self.last = 0
+        self.expired_at = 0.0
         self.fresh.unlink(missing_ok=True)
         self.file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
         self.size = self._restore()
@@ -119,9 +158,7 @@
     def take(self, m: Held) -> None:
         """The message is taken on."""
         if not self._room(m.bytes):
-            self.compact()  # it may be ids and keys that nobody needs any more
-            if not self._room(m.bytes):
-                raise JournalFull(f"no room for {m.bytes} bytes")
+            raise JournalFull(f"no room for {m.bytes} bytes")
         self._write(m.record())
 
     def attempt(self, numbers: list[int], at: float) -> None:
@@ -146,6 +183,11 @@
 
     def _write(self, record: list[Any]) -> None:
         data = frame(record)
+        now = time.time()
+        if now - self.expired_at > 1:
+            self.expired_at = now
+            self.over.expire(now)
+            self.keys.expire(now)
         if self.size + len(data) > max(SMALL, 4 * self.live) or not self._fits(len(data)):
             self.compact()
         if blocks(self.size + len(data)) > self.limit:
@@ -163,11 +205,16 @@
 
     def _room(self, more: int) -> bool:
         """Whether two copies of all that is open, and of this, would stay under the limit."""
-        return blocks(2 * (self.live + more) + SPARE_BYTES) <= self.limit
+        return blocks(int(2 * (self.live + more) + SPARE * self.limit)) <= self.limit
 
     def _fits(self, more: int) -> bool:
         """Whether a compacted copy could still stand beside the file."""
-        return blocks(self.size + more) + blocks(self.live + SPARE_BYTES) <= self.limit
+        return blocks(self.size + more) + blocks(self.live) + BLOCK <= self.limit
+
+    @property
+    def live(self) -> int:
+        """Bytes of what is still needed, at most."""
+        return self.open_bytes + self.over.bytes + self.keys.bytes + BLOCK
 
     def _apply(self, record: list[Any]) -> None:
         kind = record[0]
@@ -175,7 +222,11 @@
             m = Held(*record[1:])
             self.held[m.number], self.ids[m.id] = m, m.number
             self.last = max(self.last, m.number)
-            self.live += m.bytes
+            self.open_bytes += m.bytes
+            if not m.status:
+                self.open += 1
+                if m.key:
+                    self.open_keys[m.key] = m.number
         elif kind == "try":
             for number in record[1]:
                 if m := self.held.get(number):
@@ -187,46 +238,51 @@
             if m := self.held.get(record[1]):
                 m.trying_at = 0.0
                 if m.key and not m.ran_at:
-                    self.live -= EACH * (self.keys.pop(m.key, None) is not None)
+                    self.keys.drop(m.key)
         elif kind == "final":
             if m := self.held.get(record[1]):
-                self.live -= len(m.body)
-                m.status, m.again_ms, m.body = record[2], record[3], b""
+                self.end(m, record[2], record[3])
         elif kind == "over":
             for number in record[1]:
                 if m := self.held.pop(number, None):
                     self.ids.pop(m.id, None)
-                    self.live -= m.bytes
-                    self._remember_over(m.id, record[2])
+                    self._ended(m)
+                    self.open_bytes -= m.bytes
+                    self.over.add(m.id, record[2], m.until + OVER_S)
         elif kind == "known":
             self.last = record[1]
-            for ident, at in record[2].items():
-                self._remember_over(ident, at)
+            for ident, expires in record[2].items():
+                self.over.add(ident, expires, expires)
             for key, at in record[3].items():
                 self._remember_key(key, at)
 
+    def end(self, m: Held, status: str, again_ms: int) -> None:
+        """Only the notice is owed from now on."""
+        self._ended(m)
+        self.open_bytes -= len(m.body)
+        m.status, m.again_ms, m.body = status, again_ms, b""
+
+    def _ended(self, m: Held) -> None:
+        """Its end is owed no more; before its status is set."""
+        if not m.status:
+            self.open -= 1
+            if self.open_keys.get(m.key) == m.number:
+                del self.open_keys[m.key]
+
     def key_ran_at(self, key: str) -> float:
         """When the first attempt with this key that may have run was sent, 0 if none is known."""
-        at = self.keys.get(key, 0.0) if key else 0.0
+        at = self.keys.at(key)
         return at if time.time() - at < self.key_s else 0.0
 
-    def _remember_over(self, ident: str, at: float) -> None:
-        if ident not in self.over:
-            self.live += EACH
-        self.over[ident] = at
-
     def _remember_key(self, key: str, at: float) -> None:
-        if key not in self.keys:
-            self.live += EACH
-            self.keys[key] = at
+        if not self.key_ran_at(key):
+            self.keys.add(key, at, at + self.key_s)
 
     def compact(self) -> None:
         """Write what is still needed into a new file and put it in the old one's place."""
-        now = time.time()
-        self.over = {i: at for i, at in self.over.items() if now - at < OVER_S}
-        self.keys = {k: at for k, at in self.keys.items() if now - at < self.key_s}
-        self.live = sum(m.bytes for m in self.held.values()) + EACH * (len(self.over) + len(self.keys))
-        parts = [frame(["known", self.last, self.over, self.keys])]
+        over = {ident: expires for ident, (_, expires) in self.over.known.items()}
+        keys = {key: at for key, (at, _) in self.keys.known.items()}
+        parts = [frame(["known", self.last, over, keys])]
         for m in self.held.values():
             parts.append(frame(m.record()))
         data = b"".join(parts)
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -65,8 +65,9 @@
         await asyncio.sleep(0.01)
     assert a.calls.qsize() == before
     assert not fleet.host.calls.pools[fleet.host.uids["a"]].idle
+    number = fleet.host.uids["b"]
     fleet.discovery.change("b", state="terminated")
-    while fleet.host.uids["b"] in fleet.host.entries:
+    while number in fleet.host.entries:
         await asyncio.sleep(0.01)
 
 
@@ -269,7 +270,7 @@
         await e.call()
     await client.put("m2", kind="keyed", key="k")
     assert (await e.call())[1]["idempotency-key"] == "k"  # inside the window
-    fleet.host.journal.keys["k"] = time.time() - 20
+    fleet.host.journal.keys.add("k", time.time() - 8.5, time.time() + 9)
     assert (await client.put("m3", kind="keyed", key="k")).startswith("-BUSY")
     assert e.calls.empty()
 
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -10,7 +10,7 @@
 
 from loopback import ROOT, Client, answer, bounded, courier
 
-from hopmill.net.state import Held, Journal, frame
+from hopmill.net.state import Held, Journal, JournalFull, frame
 
 
 @courier
@@ -149,8 +149,7 @@
         journal.attempt([n], 1.0)
         journal.missed(n)
         journal.done(n)
-        journal.over.clear()
-        journal.live = sum(m.bytes for m in journal.held.values())
+        journal.over.expire(time.time() + 60)
         assert sum(-(-f.stat().st_size // 512) * 512 for f in tmp_path.iterdir()) <= limit
     journal.close()
     again = Journal(tmp_path, limit)
@@ -194,11 +193,44 @@
     assert done.stderr.count("\n") == 1
 
 
-def test_ids_that_nobody_needs_any_more_do_not_keep_new_messages_out(tmp_path):
-    # They are forgotten only when the journal is compacted: a small limit filled up with them before.
-    journal = Journal(tmp_path, 60_000)
-    for n in range(2000):
-        journal.take(Held(n, f"m{n}", 0, 0, 7, "", time.time() + 9, False, b"x"))
+def test_ids_and_keys_are_forgotten_when_their_time_is_up(tmp_path, monkeypatch):
+    # Kept for half a minute at 160 bytes each, twice, those of a few hundred messages a second filled the
+    # disk: everything was refused then, with a compaction for each try.
+    now = [1000.0]
+    monkeypatch.setattr("hopmill.net.state.time.time", lambda: now[0])
+    journal = Journal(tmp_path, 1_000_000, key_window_s=12.0)
+    compactions = []
+    compact = journal.compact
+    monkeypatch.setattr(journal, "compact", lambda: (compactions.append(1), compact()))
+    for n in range(1, 12001):  # 300 a second for 40 s
+        now[0] += 1 / 300
+        journal.take(Held(n, f"{n:016x}", 1, 0, 7, f"{n:016x}", now[0] + 12, False, b"x" * 200))
+        journal.attempt([n], now[0])
         journal.done(n)
-        journal.over = {ident: 0.0 for ident in journal.over}  # long ago
+    assert 14 * 300 <= len(journal.over) <= 16 * 300 and 14 * 300 <= len(journal.keys) <= 16 * 300
+    assert len(compactions) < 60
+    assert f"{12000:016x}" in journal.over and journal.key_ran_at(f"{12000:016x}") == now[0]
+    now[0] += 30
+    journal.take(Held(12001, "last", 1, 0, 7, "", now[0] + 12, False, b""))
+    assert not journal.over and not journal.keys and journal.live < 2000
+    journal.close()
+
+
+def test_a_journal_near_its_limit_is_not_compacted_for_each_record(tmp_path, monkeypatch):
+    journal = Journal(tmp_path, 200_000)
+    held = 0
+    with contextlib.suppress(JournalFull):
+        while True:
+            held += 1
+            journal.take(Held(held, f"m{held}", 0, 0, 7, "", time.time() + 9, False, b"x" * 300))
+    compactions = []
+    compact = journal.compact
+    monkeypatch.setattr(journal, "compact", lambda: (compactions.append(1), compact()))
+    for n in range(1, held):
+        journal.attempt([n], 1.0)
+        journal.missed(n)
+    with contextlib.suppress(JournalFull):
+        for _ in range(100):
+            journal.take(Held(held + 9, "no", 0, 0, 7, "", time.time() + 9, False, b"x" * 300))
+    assert held > 100 and len(compactions) < 5
     journal.close()
