Endpoint health gets a module of its own; an endpoint that goes with a call out is forgotten when it ends

No decision changes with the move.

Cause of the mend: Courier._listed forgot gone endpoints only at the next list and only with no call out; confirmed by a test that fails without it (tests/test_growth.py).

--- /dev/null
+++ b/hopmill/health.py
@@ -0,0 +1,274 @@
+"""What calls to endpoints showed: health, pace, windows and time-outs of endpoints and lanes."""
+
+from __future__ import annotations
+
+import math
+import random
+from typing import TYPE_CHECKING
+
+from hopmill.interface import Action, EndpointState, Log, Result, Settings
+
+if TYPE_CHECKING:
+    from hopmill.brain import Message
+
+BASE_US = 100_000  # first ceiling of the jittered wait (the note's default)
+CAP_US = 3_000_000  # highest ceiling (the note's default)
+REFUSED_MEMORY, KIND_MEMORY = 0.5, 1 / 16  # weight of the newest call in the share refused: lane, kind
+# Pacing of a lane.
+BURST_S, BURST_PRICED_S = 0.8, 0.4  # a bucket holds this much of its rate; less where refusals are priced
+CUT = 0.75  # on overload the rate shrinks by this, once a round trip
+GROW = 0.1  # and a success adds this share of the listed (or first learned) rate
+NEAR, CALM_US = 0.9, 5_000_000  # near the last refused pace it grows slowly, until this long after
+FLOOR = 0.4  # but a listed rate is not left further than this behind
+# Health of an endpoint.
+MEMORY = 0.25  # weight of the newest outcome in the failing share
+STRUCK = 0.5  # failing share at which an endpoint counts as in trouble: three failures in a row from none
+TWICE = 0.4  # failing share after two failures in a row
+DIRTY_FADE = 0.6  # and that share fades by itself in this part of the contract's cold time
+GAP_US, GAP_CAP_US = 400_000, 2_500_000  # first and longest ceiling of the gap between half-open trials
+LONG_WAIT_US = 2_500_000  # a told wait over this is a shut destination, not the end of a rate span
+RAMP = 0.8  # share of the contract's fall multiple that recovery uses: the rest is for chance
+SPARE = 2.0  # an unlisted capacity is taken for this multiple of the traffic that it was seen to take
+REAP, REGROW = 0.5, 1.25  # idle connections are trusted for this part of the age at which one failed
+FRESH_US = 1_000_000  # an endpoint that answered this lately is not down: a failed connect is a full table
+# Time-outs.
+# A call is given up once it is likely lost: with a share p of calls lost and a tail that shrinks by e for
+# each TAIL_X deviations, the odds that it still comes are ALIVE after TAIL_X * ln(1 / (ALIVE * p)) of them.
+TAIL_X, ALIVE = 1.35, 0.1
+LOST_X = 4.0  # at 1/LOST_X lost, time-outs are no evidence
+LOSS, LOSS_MEMORY = 0.002, 1 / 32  # least share of calls taken as lost, weight of the newest call
+
+
+class Circuit:
+    """Whether calls may go, and how many: of an endpoint. In a large fleet of a lane: outages mostly take all
+    endpoints, and so few calls go there that one endpoint's own would never gather the evidence."""
+
+    def __init__(self) -> None:
+        self.bad = 0.0  # failing share
+        self.open = False  # trials only
+        self.trial: Call | None = None
+        self.trial_at = self.gap = 0
+        self.ramp_from = -1  # start of the slow start, -1 when warm
+        self.base = 0.0  # this courier's part of the warm rate
+        self.tokens, self.stamp = 1.0, 0
+
+
+class Endpoint:
+    """One endpoint and what its calls showed."""
+
+    def __init__(self, ident: int, lane: Lane, zone: int) -> None:
+        self.id, self.lane, self.zone = ident, lane, zone
+        self.state = EndpointState.READY
+        self.out: dict[int, Call] = {}  # calls in flight, oldest first
+        self.idle: list[int] = []  # when each idle connection came free
+        self.bad, self.dirty, self.dirty_at, self.last_ok = 0.0, 0.0, 0, 0
+        self.c = lane.circuit or Circuit()
+
+
+class Lane:
+    """What shares one limit: a destination, or one route of it."""
+
+    def __init__(self, dest: Destination, circuit: Circuit | None) -> None:
+        self.dest, self.circuit = dest, circuit
+        self.endpoints: dict[int, Endpoint] = {}
+        self.listed = 0.0  # this courier's part of the listed rate, 0 if none
+        self.rate = self.brink = 0.0  # calls a second that it is paced to, 0 = not; pace last refused
+        self.tokens, self.stamp, self.wait_until, self.cut_at = 1.0, 0, 0, 0
+        self.refused = 0.0  # share of calls refused as full
+        self.window, self.out, self.fulls = 1.0, 0, 0
+        self.mean = self.dev = 0.0  # latency
+        self.hold = 1e5  # time that a call takes a slot, failed ones included
+        self.seen, self.seen_at = 0.0, 0  # successes a second
+
+
+class Destination:
+    def __init__(self, number: int) -> None:
+        self.number, self.kind = number, 0
+        self.lanes: list[Lane] = []
+        self.queue: list[Message] = []
+        self.out = self.arrivals = 0
+
+
+class Call:
+    """One call in flight; a batched one carries several messages."""
+
+    def __init__(self, endpoint: Endpoint, now: int) -> None:
+        self.endpoint, self.sent_at, self.left, self.judged = endpoint, now, 0, False
+        self.idle_us = -1  # how long its connection had been idle, -1 for a new one
+
+
+class Health:
+    """Judges outcomes: what an endpoint and its lane may be sent, and for how long a call is waited for."""
+
+    def __init__(self, settings: Settings, chance: random.Random, cap: int) -> None:
+        self.s, self.random, self.cap = settings, chance, cap
+        self.now, self.start = 0, -1
+        self.burst = BURST_PRICED_S if settings.refused_price else BURST_S
+        # Many small couriers: each meets a destination so rarely that its equal part of anything says little.
+        self.thin = settings.couriers > settings.slots
+        # Idle connections are used up to this age. Those of hundreds of couriers fill a destination's table,
+        # and few would serve again in time: a large fleet keeps none.
+        self.keep = 0 if self.thin else settings.connection_idle_us
+        self.refused = [0.0] * len(settings.kinds)  # as the lanes', over all calls to a kind
+        self.reaped = 0  # calls lost on idle connections
+        self.hold = 1e5  # as the lanes', over all calls
+        self.loss = LOSS  # share of calls that are never answered though others are
+        self.actions: list[Action] = []
+
+    def backoff(self, attempt: int) -> int:
+        return int(self.random.uniform(0, min(CAP_US, BASE_US * 2 ** min(attempt, 30))))
+
+    def judge(self, ep: Endpoint, result: Result, call: Call, latency: int, told: int) -> None:
+        lane, now = ep.lane, self.now
+        if result in (Result.TIMEOUT, Result.RESET) and call.idle_us >= 0:
+            # A connection dropped unseen while it was idle: older ones are closed before a call.
+            self.reaped += 1
+            if self.reaped > 1:
+                self.keep = min(self.keep, int(REAP * max(call.idle_us, 2 * lane.mean)))
+        if result is Result.OK:
+            if call.idle_us > REAP * REAP * self.keep:
+                self.reaped, self.keep = 0, min(self.s.connection_idle_us, int(self.keep * REGROW))
+            self.succeeded(ep, latency)
+            return
+        if result in (Result.CANCELLED, Result.MOOT):
+            return
+        if result is Result.FULL:
+            lane.refused += (1 - lane.refused) * REFUSED_MEMORY
+            self.refused[lane.dest.kind] += (1 - self.refused[lane.dest.kind]) * KIND_MEMORY
+            self.overloaded(lane, told)
+            if told > LONG_WAIT_US:
+                ep.bad = ep.c.bad = 1.0
+                self.trip(ep, "shut")
+                return
+            if now - ep.last_ok < FRESH_US:
+                return
+        elif result is Result.TIMEOUT:
+            if ep.last_ok > call.sent_at:
+                # Calls sent with it or later were answered: a lost call, not an outage: a spell of
+                # losses must not put whole lanes into recovery.
+                lane.window = max(1.0, lane.window - 1)
+                self.loss += LOSS_MEMORY * (1 - self.loss)
+                return
+            lane.window = max(1.0, lane.window / 2)
+        elif result is Result.CONNECT_FAILED:
+            ep.idle.clear()
+            if now - ep.last_ok < FRESH_US and ep.out:  # a full connection table, not a dead endpoint
+                return
+        if result in (Result.ERROR, Result.TIMEOUT, Result.RESET):
+            ep.dirty, ep.dirty_at = self.dirt(ep) + MEMORY * (1 - self.dirt(ep)), now
+        # Where many calls are lost anyway, one without an answer says little of its endpoint.
+        lost = min(1.0, LOST_X * self.loss) if result is Result.TIMEOUT else 0.0
+        ep.bad += MEMORY * (1 - ep.bad) * (1 - lost)
+        ep.c.bad += MEMORY * (1 - ep.c.bad) * (1 - lost)
+        if ep.c.ramp_from >= 0 and ep.c.bad >= STRUCK / 2:
+            ep.c.ramp_from = now
+        # In a large fleet one failure opens it, or two lost calls: three each of hundreds of couriers are
+        # more than a cold destination bears. One may be chance: the next answer closes it.
+        first = self.thin and result is not Result.FULL
+        first = first and (result is not Result.TIMEOUT or ep.c.bad >= TWICE)
+        if ep.c.bad >= STRUCK or ep.c.open and call is ep.c.trial or first:
+            if result is not Result.ERROR or self.thin:
+                self.trip(ep, result.value)
+                return
+            # It answers, but with errors: some calls still get through, so it goes on at a cold start's pace,
+            # which it can take when they stop. Trials alone lost what half-failing ones still deliver.
+            if ep.c.ramp_from < 0:
+                self.actions.append(Log(f"endpoint {ep.id} answers with errors: cold pace"))
+            self.base(ep)
+            ep.c.open, ep.c.gap, ep.c.ramp_from = False, 0, now
+
+    def succeeded(self, ep: Endpoint, latency: int) -> None:
+        lane, now = ep.lane, self.now
+        ep.last_ok = now
+        ep.bad, ep.c.bad = ep.bad * (1 - MEMORY), ep.c.bad * (1 - MEMORY)
+        ep.dirty, ep.dirty_at = self.dirt(ep) * (1 - MEMORY), now
+        if latency:
+            self.loss = max(LOSS, self.loss * (1 - LOSS_MEMORY))
+            if not lane.mean:
+                # One quick answer is no ground for a short time-out: start from the mean of all calls.
+                lane.mean = lane.dev = max(float(latency), self.hold)
+            lane.dev += (abs(latency - lane.mean) - lane.dev) / 8
+            lane.mean += (latency - lane.mean) / 8
+        lane.seen, lane.seen_at = lane.seen * max(0.0, 1 - (now - lane.seen_at) / 4e6) + 0.25, now
+        lane.fulls, lane.refused = 0, lane.refused * (1 - REFUSED_MEMORY)
+        self.refused[lane.dest.kind] *= 1 - KIND_MEMORY
+        lane.window = min(self.cap, lane.window + 1)
+        if lane.rate:
+            top = lane.listed * self.s.couriers or math.inf
+            # Fast up to where it was last refused, then slowly, the faster the longer ago that was: growth at
+            # one pace met a refusal in ten calls.
+            near = lane.rate >= NEAR * lane.brink
+            step = GROW * min(1.0, max(0.1, (now - lane.cut_at) / CALM_US)) if near else GROW
+            lane.rate = min(top, lane.rate + step * (lane.listed or lane.rate))
+            if self.thin and not lane.dest.queue and now - lane.cut_at > CALM_US:
+                lane.rate = 0.0
+        if ep.c.open:
+            ep.c.open = False
+            if not self.thin or ep.c.bad >= TWICE * (1 - MEMORY):  # one failure was no outage
+                ep.c.ramp_from = ep.c.stamp = now
+                if not self.thin:
+                    ep.c.tokens = 1.0
+                self.actions.append(Log(f"endpoint {ep.id} answers again: slow start"))
+            ep.c.gap, ep.c.bad = 0, min(ep.c.bad, STRUCK * 0.8)
+        elif 0 <= ep.c.ramp_from <= now - self.s.cold_us or self.thin and self.warm(ep.c) >= 1:
+            ep.c.ramp_from = -1
+
+    def overloaded(self, lane: Lane, told: int) -> None:
+        """A refusal as full: pace down, close the window, and wait as told (or a jittered wait)."""
+        now = self.now
+        if now >= lane.cut_at:
+            lane.cut_at = now + max(int(lane.mean), 2 * self.s.tick_us)
+            lane.window = max(1.0, lane.window / 2)
+            lane.brink = lane.rate or lane.seen * SPARE
+            # In a large fleet an equal part of a rate is a call in many seconds, and who needs it is chance:
+            # paced only from a refusal on, until no more come and nothing waits.
+            if lane.rate:
+                lane.rate = max(lane.rate * CUT, lane.listed * FLOOR, 0.0 if self.thin else 0.2)
+            elif self.thin:
+                lane.rate = lane.brink = lane.listed
+                lane.tokens, lane.stamp = self.random.random(), now
+            else:
+                lane.rate = max(0.5, lane.seen * CUT)
+            lane.fulls += 1
+        lane.wait_until = max(lane.wait_until, now + (told or self.backoff(lane.fulls)))
+        self.fill(lane)
+        lane.tokens, lane.stamp = min(lane.tokens, 1.0), max(now, lane.wait_until)
+
+    def dirt(self, ep: Endpoint) -> float:
+        return ep.dirty * max(0.0, 1 - (self.now - ep.dirty_at) / max(1.0, DIRTY_FADE * self.s.cold_us))
+
+    def base(self, ep: Endpoint) -> None:
+        # A lane that fails over and over shows few successes: its warm rate is the best one seen. But the
+        # floors of hundreds of couriers add up: there it is the own traffic, whose sum follows the total.
+        own = ep.lane.dest.arrivals / max(self.now - self.start, self.s.cold_us, 1) * 1e6
+        floor = max(ep.c.base, ep.lane.listed or ep.lane.seen * SPARE, 0.5)
+        ep.c.base = (ep.lane.listed or own) if self.thin else floor
+
+    def trip(self, ep: Endpoint, sign: str) -> None:
+        """Open the circuit: only trials, with growing jittered gaps."""
+        if not ep.c.open:
+            self.base(ep)
+            if self.thin and ep.c.ramp_from < 0:
+                ep.c.tokens = self.random.random()  # chance sets who may try first
+            self.actions.append(Log(f"endpoint {ep.id} in trouble ({sign}): trials only"))
+        ep.c.open, ep.c.ramp_from = True, -1
+        ep.c.gap = min(GAP_CAP_US, ep.c.gap * 2 or GAP_US)
+        ep.c.trial_at = self.now + int(self.random.uniform(0.5, 1) * ep.c.gap)
+
+    def timeout(self, lane: Lane) -> int:
+        return int(lane.mean + max(lane.mean, lane.dev * TAIL_X * math.log(1 / (ALIVE * self.loss))))
+
+    def fill(self, lane: Lane) -> float:
+        if not lane.rate:
+            return 1.0
+        if self.now > lane.stamp:
+            tokens = lane.tokens + lane.rate * (self.now - lane.stamp) / 1e6
+            lane.tokens, lane.stamp = min(tokens, max(1.0, lane.rate * self.burst)), self.now
+        return lane.tokens
+
+    def warm(self, circuit: Circuit) -> float:
+        """Share of its usual calls that a returning endpoint may get."""
+        c = self.s.cold_share
+        since = self.now if circuit.open else circuit.ramp_from
+        warm = c + (1 - c) * (self.now - since) / max(1, self.s.cold_us)
+        return min(1.0, RAMP * self.s.fall_multiple * warm)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -231,7 +231,7 @@
 def test_time_outs_are_short_where_many_calls_are_lost():
     h = Host(slots=40)
     warm(h, 40)
-    calm = h.courier.loss
+    calm = h.courier.health.loss
     for _ in range(10):
         sends = of(Send, h.arrive(after=300_000) + h.arrive())
         for a in sends[1:]:
@@ -239,10 +239,10 @@
         h.end(sends[0].message, Result.TIMEOUT)
     lane = h.courier.endpoints[100].lane
     lane.mean, lane.dev = 100_000.0, 75_000.0
-    lossy = h.courier._timeout(lane)
-    assert h.courier.loss > 10 * calm
-    h.courier.loss = calm
-    assert lossy < 0.7 * h.courier._timeout(lane)
+    lossy = h.courier.health.timeout(lane)
+    assert h.courier.health.loss > 10 * calm
+    h.courier.health.loss = calm
+    assert lossy < 0.7 * h.courier.health.timeout(lane)
 
 
 def test_pace_grows_slowly_near_the_rate_that_was_refused_last():
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -36,11 +36,11 @@
         return len(of(CloseIdle, acts))
 
     assert not call(6 * S, Result.OK)
-    assert not call(4 * S, Result.RESET) and h.courier.keep == 10 * S  # one lost call may be chance
-    assert not call(4 * S, Result.RESET) and h.courier.keep < 4 * S
-    trusted = h.courier.keep
+    assert not call(4 * S, Result.RESET) and h.courier.health.keep == 10 * S  # one lost call may be chance
+    assert not call(4 * S, Result.RESET) and h.courier.health.keep < 4 * S
+    trusted = h.courier.health.keep
     assert call(4 * S, Result.OK) == 1
-    assert not call(trusted // 2, Result.OK) and h.courier.keep > trusted
+    assert not call(trusted // 2, Result.OK) and h.courier.health.keep > trusted
 
 
 def test_a_part_of_a_listed_rate_paces_a_large_fleet_only_after_a_refusal():
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -1,4 +1,4 @@
-"""Whatever is kept for a message, a connection or an endpoint has an end: a day of replacements and new ids."""
+"""Whatever is kept for a message, a connection or an endpoint has an end: replacements and new ids."""
 
 import asyncio
 
@@ -47,6 +47,19 @@
     assert sizes[0] == sizes[1] and sizes[0]["uids"] == sizes[0]["endpoints"] == 1 == sizes[0]["pools"]
 
 
+@courier
+async def test_an_endpoint_that_goes_with_its_call_out_is_forgotten_when_the_call_ends(fleet):
+    e = await fleet.endpoint("a", "hang")
+    client = await fleet.inside()
+    await bounded(fleet.discovery.watches.get())
+    assert await client.put("u", kind="unsafe", life=900) == "+OK"
+    await e.call()
+    fleet.discovery.change("a", state="terminated")
+    assert (await fleet.discovery.final())["id"] == "u"
+    await asyncio.sleep(0.05)
+    assert kept(fleet.host)["endpoints"] == kept(fleet.host)["lanes"] == 0
+
+
 @courier
 async def test_a_client_that_asks_once_and_keeps_its_connection_is_let_go(fleet):
     await fleet.endpoint("a")
