What belongs to a connection is told apart from what belongs to its endpoint

Unsafe messages were risked on kept connections of which one in ten was torn. Ruled out: CPU (0.43 s in the worst second), descriptors, the pool (stale() found what was closed in time; 79 % of the resets came at the request itself), outages of whole endpoints (all answered throughout).

Now Send carries a time-out for a new connection, from a learned set-up time; the host tells with each outcome whether a new one was used, so the module's view of idle connections is set right. A 503 on a new connection while kept ones answer is a failed connection and caps how many are opened there. A torn kept connection says nothing of its endpoint; trouble of under 1 s with answers before and after is no outage; unsafe messages get a new connection where over 8 % of kept ones are torn.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -25,6 +25,7 @@
 ROOM = 2  # places kept free for new messages
 SHED = 0.9  # at most this share of new messages is refused unsent
 QUICK_US = 200_000  # a failure that came this soon may be tried again at once, outage or not
+TORN = 0.08  # share of calls on kept connections that are reset, over which unsafe messages get a new one
 DIRTY = 0.15  # share of may-have-run failures over which unsafe messages wait
 # Time-outs.
 LASTS = 2.0  # what is put off for want of slots waits this many times the queue: new messages come first
@@ -213,6 +214,10 @@
             return
         call, m = found
         ep, call.left = call.endpoint, call.left - 1
+        if e.fresh is not None and e.fresh != (call.idle_us < 0):
+            call.idle_us = -1 if e.fresh else 0
+            if e.fresh:  # none was kept, against what was thought
+                ep.idle.clear()
         if call.left == 0:
             self.out -= 1
             ep.lane.out -= 1
@@ -252,7 +257,7 @@
         # Overload ends the message, passing on the told wait. But where clients mark what they hand in again
         # and many were refused with nothing coming back, a refusal is a loss: the message waits here instead.
         stays = self.s.clients_mark_retries and self.unreturned >= DESERTED and m.tries < self.tries
-        if e.result is Result.FULL and not stays:
+        if e.result is Result.FULL and not stays and not call.crowded:
             self._finish(m, e.retry_after_us)
         elif m.tries >= self.tries or not again or self.now + wait >= m.until - self.margin:
             self._finish(m, 0)
@@ -313,7 +318,7 @@
         """The gate, lane side: drain, wait, slots, windows, pace, circuit, recovery budget."""
         lane, now = ep.lane, self.now
         busy = self.out >= self.s.slots or lane.dest.out >= self.cap or lane.out >= int(lane.window)
-        if busy or ep.state is not EndpointState.READY:
+        if busy or ep.state is not EndpointState.READY or len(ep.out) >= ep.most:
             return False
         if now < lane.wait_until:
             self._wake(lane.wait_until)
@@ -428,12 +433,15 @@
         lane.dest.out += 1
         ep.out[id(call)] = call
         oldest = now - self.health.keep
-        if ep.idle:
+        call.fresh = m.cls.effect is Effect.UNSAFE and self.health.torn > TORN
+        if ep.idle and not call.fresh:
             if ep.idle[-1] > oldest:
                 call.idle_us = now - ep.idle[-1]
             elif ep.idle[-1] > now - self.s.connection_idle_us:
                 self.actions.append(CloseIdle(ep.id))
-        ep.idle = [t for t in ep.idle if t > oldest][:-1]
+        ep.idle = [t for t in ep.idle if t > oldest]
+        if not call.fresh:
+            ep.idle = ep.idle[:-1]
         if lane.rate:
             lane.tokens -= 1.0
         if ep.c.open:
@@ -450,19 +458,27 @@
     def _attempt(self, m: Message, call: Call) -> None:
         ep, now = call.endpoint, self.now
         left = int(min(m.until, self.closing)) - now - self.margin
-        timeout, lane = left, ep.lane
+        lane = ep.lane
         guess = self.health.timeout(lane) if lane.mean else max(self.s.connect_timeout_us, m.cls.aim_us)
-        if m.cls.effect is Effect.UNSAFE:  # one long try: but a lost call must not hold a slot till its end
-            timeout = min(left, max(guess, m.cls.aim_us))
-        elif guess + lane.mean * 2 < left:
-            timeout = guess
-        if ep.c.open and m.cls.effect is not Effect.UNSAFE:  # a trial of what may hang: hold the slot briefly
-            timeout = min(timeout, int(TRIAL_X * guess))
+        # The first call on a new connection waits for it to be set up. With no time for that, each one timed
+        # out, was closed, and the next opened one more.
+        setup = self.health.setup_us() if lane.mean else 0
+
+        def patience(guess: int) -> int:
+            timeout = left
+            if m.cls.effect is Effect.UNSAFE:  # one long try, but a lost call must not hold a slot to its end
+                return min(left, max(guess, m.cls.aim_us))
+            if guess + lane.mean * 2 < left:
+                timeout = guess
+            # A trial of what may hang: hold the slot briefly.
+            return min(timeout, int(TRIAL_X * guess)) if ep.c.open else timeout
+
+        timeout, fresh = max(1, patience(guess)), max(1, patience(guess + setup))
         m.dest.queue.remove(m)
         self.calls[(m.id, m.tries)] = (call, m)
         call.left += 1
         m.tries, m.out, m.last = m.tries + 1, m.out + 1, ep
-        self.actions.append(Send(m.id, ep.id, max(1, timeout)))
+        self.actions.append(Send(m.id, ep.id, fresh if call.idle_us < 0 else timeout, fresh, call.fresh))
 
     def _wake(self, at: int) -> None:
         at = max(at, self.now + self.s.tick_us)
--- a/hopmill/health.py
+++ b/hopmill/health.py
@@ -31,7 +31,11 @@
 SPARE = 2.0  # an unlisted capacity is taken for this multiple of the traffic that it was seen to take
 REAP, REGROW = 0.5, 1.25  # idle connections are trusted for this part of the age at which one failed
 FRESH_US = 1_000_000  # an endpoint that answered this lately is not down: a failed connect is a full table
+SPELL_US = 1_000_000  # trouble that lasted no longer than this, with answers before and after, was no outage
+REUSE_MEMORY = 1 / 16  # weight of the newest call in the share lost on kept connections
+TABLE_US = 2_000_000  # after this one more connection than a full table took is tried
 # Time-outs.
+SETUP_US = 500_000  # the first call on a new connection takes so much longer, until it has been seen
 # A call is given up once it is likely lost: with a share p of calls lost and a tail that shrinks by e for
 # each TAIL_X deviations, the odds that it still comes are ALIVE after TAIL_X * ln(1 / (ALIVE * p)) of them.
 TAIL_X, ALIVE = 1.35, 0.1
@@ -62,6 +66,7 @@
         self.out: dict[int, Call] = {}  # calls in flight, oldest first
         self.idle: list[int] = []  # when each idle connection came free
         self.bad, self.dirty, self.dirty_at, self.last_ok = 0.0, 0.0, 0, 0
+        self.most, self.most_at = math.inf, 0  # connections that its table took, and when it was full
         self.c = lane.circuit or Circuit()
 
 
@@ -95,6 +100,8 @@
     def __init__(self, endpoint: Endpoint, now: int) -> None:
         self.endpoint, self.sent_at, self.left, self.judged = endpoint, now, 0, False
         self.idle_us = -1  # how long its connection had been idle, -1 for a new one
+        self.alone = not endpoint.out  # no other call was out there when it was sent
+        self.fresh = self.crowded = False  # asked for a new connection; turned away by a full table
 
 
 class Health:
@@ -113,6 +120,8 @@
         self.reaped = 0  # calls lost on idle connections
         self.hold = 1e5  # as the lanes', over all calls
         self.loss = LOSS  # share of calls that are never answered though others are
+        self.setup = self.setup_dev = 0.0  # what the first call on a new connection takes longer
+        self.torn = 0.0  # share of calls on kept connections that are reset
         self.actions: list[Action] = []
 
     def backoff(self, attempt: int) -> int:
@@ -120,6 +129,8 @@
 
     def judge(self, ep: Endpoint, result: Result, call: Call, latency: int, told: int) -> None:
         lane, now = ep.lane, self.now
+        if call.idle_us >= 0 and result in (Result.OK, Result.ERROR, Result.RESET):
+            self.torn += ((result is Result.RESET) - self.torn) * REUSE_MEMORY
         if result in (Result.TIMEOUT, Result.RESET) and call.idle_us >= 0:
             # A connection dropped unseen while it was idle: older ones are closed before a call.
             self.reaped += 1
@@ -128,10 +139,16 @@
         if result is Result.OK:
             if call.idle_us > REAP * REAP * self.keep:
                 self.reaped, self.keep = 0, min(self.s.connection_idle_us, int(self.keep * REGROW))
-            self.succeeded(ep, latency)
+            self.succeeded(ep, self.settled(ep.lane, call, latency))
             return
         if result in (Result.CANCELLED, Result.MOOT):
             return
+        call.crowded = self.table_full(ep, result, call, told)
+        if call.crowded:
+            ep.most, ep.most_at = max(1, sum(c.idle_us >= 0 for c in ep.out.values()) + len(ep.idle)), now
+            return
+        if result is Result.RESET and call.idle_us >= 0 and now - ep.last_ok < SPELL_US:
+            return  # that connection had died; the endpoint answers on others
         if result is Result.FULL:
             lane.refused += (1 - lane.refused) * REFUSED_MEMORY
             self.refused[lane.dest.kind] += (1 - self.refused[lane.dest.kind]) * KIND_MEMORY
@@ -177,8 +194,34 @@
             self.base(ep)
             ep.c.open, ep.c.gap, ep.c.ramp_from = False, 0, now
 
+    def table_full(self, ep: Endpoint, result: Result, call: Call, told: int) -> bool:
+        """Turned away on a new connection while kept ones are answered: it takes no more of them. That is a
+        failed connection, and says nothing of the limit."""
+        if result is not Result.FULL or told or call.idle_us >= 0 or self.thin:
+            return False
+        return self.now - ep.last_ok < SPELL_US and not call.alone
+
+    def settled(self, lane: Lane, call: Call, latency: int) -> int:
+        """A call's latency without what the setting up of its connection took."""
+        if call.idle_us >= 0:
+            return latency
+        if lane.mean:
+            extra = max(0.0, latency - lane.mean)
+            if not self.setup:
+                self.setup, self.setup_dev = extra, extra / 2
+            self.setup_dev += (abs(extra - self.setup) - self.setup_dev) / 8
+            self.setup += (extra - self.setup) / 8
+        return max(1, int(latency - self.setup))
+
+    def setup_us(self) -> int:
+        """What is allowed for the setting up of a connection."""
+        return int(self.setup + max(self.setup / 2, 3 * self.setup_dev)) if self.setup else SETUP_US
+
     def succeeded(self, ep: Endpoint, latency: int) -> None:
         lane, now = ep.lane, self.now
+        spell = now - ep.last_ok < SPELL_US
+        if now - ep.most_at > TABLE_US:
+            ep.most, ep.most_at = ep.most + 1, now
         ep.last_ok = now
         ep.bad, ep.c.bad = ep.bad * (1 - MEMORY), ep.c.bad * (1 - MEMORY)
         ep.dirty, ep.dirty_at = self.dirt(ep) * (1 - MEMORY), now
@@ -204,7 +247,9 @@
                 lane.rate = 0.0
         if ep.c.open:
             ep.c.open = False
-            if not self.thin or ep.c.bad >= TWICE * (1 - MEMORY):  # one failure was no outage
+            if spell and not self.thin:
+                self.actions.append(Log(f"endpoint {ep.id} answers again: it was a spell"))
+            elif not self.thin or ep.c.bad >= TWICE * (1 - MEMORY):  # one failure was no outage
                 ep.c.ramp_from = ep.c.stamp = now
                 if not self.thin:
                     ep.c.tokens = 1.0
--- a/hopmill/interface.py
+++ b/hopmill/interface.py
@@ -215,6 +215,7 @@
     latency_us: int
     closed: bool = False
     retry_after_us: int = 0  # with FULL: the told wait, 0 if none was told
+    fresh: bool | None = None  # it went out on a new connection; None: the host can't tell
 
 
 @dataclass(frozen=True, slots=True)
@@ -263,11 +264,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start the message's next attempt (numbered from 0) and report TIMEOUT after timeout_us."""
+    """Start the message's next attempt (numbered from 0) and report TIMEOUT after timeout_us.
+
+    timeout_us goes by the connection that is expected to be used; a host that knows better may take
+    fresh_timeout_us, if above 0, for one that has to open a connection.
+    """
 
     message: int
     endpoint: int
     timeout_us: int
+    fresh_timeout_us: int = 0
+    fresh: bool = False  # kept connections are not to be used
 
 
 @dataclass(frozen=True, slots=True)
--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -34,6 +34,8 @@
     key: str
     body: bytes
     timeout_us: int
+    fresh_timeout_us: int = 0  # on a new connection, 0: the same
+    fresh: bool = False  # only a new connection will do; then: it is on one
     begun: bool = False  # its first byte may have been written
     ended: bool = False
 
@@ -110,9 +112,8 @@
         self.started = calls.loop.time()
         self.status, self.headers, self.body, self.received = 0, {}, bytearray(), 0
         self.connection: Connection | None = None
-        longest = max((i.timeout_us for i in items), default=0)
         self.timers: list[asyncio.TimerHandle] = []
-        self.deadline = self.started + longest / 1e6
+        self.deadline = self.started
 
     @property
     def latency_us(self) -> int:
@@ -248,12 +249,17 @@
 
     def send(self, endpoint: int, items: list[Item]) -> None:
         """One call with these messages; each item's end is told once."""
-        call = Call(self, endpoint, items)
-        for item in items:
+        self._start(Call(self, endpoint, items))
+
+    def _wait(self, call: Call, fresh: bool) -> None:
+        """Start the time-outs, which go by the connection that the call is on."""
+        for item in call.items:
+            item.fresh = fresh
+            patience = (fresh and item.fresh_timeout_us or item.timeout_us) / 1e6
+            call.deadline = max(call.deadline, call.started + patience)
             # Items of a bundle share its fate: one that ended sooner could be tried again while its first
             # copy is still out. The host cuts each time-out to its message's deadline.
-            call.timer(item.timeout_us / 1e6, lambda item=item: self._late(call, item))
-        self._start(call)
+            call.timer(patience, lambda item=item: self._late(call, item))
 
     def probe(self, endpoint: int, path: str = "/alive") -> None:
         call = Call(self, endpoint, [], path)
@@ -282,16 +288,18 @@
             self._unsent(call, Result.MOOT)
             return
         self.out.add(call)
-        while pool.idle:
+        while pool.idle and not any(item.fresh for item in call.items):
             connection = pool.idle.pop()
             pool.timers.pop(connection).cancel()
             self.idle -= 1
             connection.on_close = lambda: None
             if not connection.stale():
                 self.reused += 1
+                self._wait(call, fresh=False)
                 self._write(call, connection)
                 return
             connection.close()
+        self._wait(call, fresh=True)
         try:
             connection = Connection(self.loop, pool.address)
         except OSError as error:
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -277,7 +277,7 @@
         if m is None or m.status:
             self.tell(i.AttemptEnded(a.message, attempt, a.endpoint, i.Result.MOOT, 0, m is None))
             return
-        item = Item(m.number, attempt, m.id, m.key, m.body, a.timeout_us)
+        item = Item(m.number, attempt, m.id, m.key, m.body, a.timeout_us, a.fresh_timeout_us, a.fresh)
         if self._batch(a.endpoint) > 1:
             bundles.setdefault(a.endpoint, []).append(item)
         else:
@@ -285,9 +285,11 @@
 
     def _call(self, endpoint: int, items: list[Item]) -> None:
         longest = max(item.timeout_us for item in items)
+        fresh = max(item.fresh_timeout_us for item in items)
         for item in items:
             left = self._mono(self.journal.held[item.number].until) - self.clock() - 2 * self.s.tick_us
             item.timeout_us = max(item.timeout_us, min(longest, left))
+            item.fresh_timeout_us = max(item.fresh_timeout_us, min(fresh, left))
         try:
             self.calls.send(endpoint, items)
         except Exception:  # its slots and messages must not hang on it
@@ -338,7 +340,7 @@
         if over:
             self.attempts.pop(item.number, None)
         self.tell(i.AttemptEnded(item.number, item.attempt, endpoint, outcome.result, max(1, latency), over,
-                                 outcome.wait_us))
+                                 outcome.wait_us, item.fresh if item.begun else None))
         self._maybe_exit()
 
     def _probed(self, endpoint: int, result: i.Result, latency: int) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -30,6 +30,7 @@
         h.courier.endpoints[100].idle = [h.now - idle]
         c = h.courier.endpoints[100].c
         c.open, c.ramp_from, c.trial, c.bad, h.courier.endpoints[100].dirty = False, -1, None, 0.0, 0.0
+        h.courier.health.torn = 0.0  # or an unsafe message would not be risked on it
         acts = h.arrive(cls=2)  # unsafe: tried once
         h.end(h.next, result)
         h.idle(1)
