Spoilt answers are not judged as errors of an endpoint that answers otherwise

Cause: Health.judge took each spoilt answer for an error: 0.25 in `dirty`, which holds unsafe messages back there for up to 6 s or until two answers are good, and three in a row put the endpoint on a cold start's pace. Ruled out: the time that spoilt answers take (told at once, or 0.5 s after they begin). The outcome now says so, and it is judged only where nothing good came within a second. Answer and its parser held each other until the collector came: let go when it is done.

--- a/hopmill/brain.py
+++ b/hopmill/brain.py
@@ -11,7 +11,7 @@
 import random
 from collections.abc import Iterable
 
-from hopmill.health import Call, Circuit, Destination, Endpoint, Health, Lane
+from hopmill.health import SPELL_US, Call, Circuit, Destination, Endpoint, Health, Lane
 from hopmill.interface import (
     Action, AttemptAnswering, AttemptEnded, CloseIdle, Closing, Effect, EndpointsListed, EndpointState, Event,
     Fail, ListEntry, ListForm, Log, MessageArrived, MessageClass, MessageGone, Refuse, Result, Send, SetTimer,
@@ -238,7 +238,8 @@
             if e.result not in (Result.FULL, Result.MOOT):
                 ep.lane.hold += (e.latency_us - ep.lane.hold) / 8
                 self.health.hold += (e.latency_us - self.health.hold) / 32
-            self.health.judge(ep, e.result, call, e.latency_us, e.retry_after_us)
+            if not e.spoilt or self.now - ep.last_ok > SPELL_US:  # a spoilt answer is no trouble by itself
+                self.health.judge(ep, e.result, call, e.latency_us, e.retry_after_us)
         if call.left == 0 and ep.c.trial is call:
             ep.c.trial = None
         if ep.state is EndpointState.GONE and not ep.out:
--- a/hopmill/interface.py
+++ b/hopmill/interface.py
@@ -216,6 +216,7 @@
     closed: bool = False
     retry_after_us: int = 0  # with FULL: the told wait, 0 if none was told
     fresh: bool | None = None  # it went out on a new connection; None: the host can't tell
+    spoilt: bool = False  # with ERROR: an answer came that can't be read
 
 
 @dataclass(frozen=True, slots=True)
--- a/hopmill/net/calls.py
+++ b/hopmill/net/calls.py
@@ -47,6 +47,7 @@
     result: Result
     over: bool = False  # nothing more is owed for the message
     wait_us: int = 0  # a told wait
+    spoilt: bool = False  # an answer came, but it could not be read
 
 
 @dataclass
@@ -161,9 +162,9 @@
             ends = bundle_outcomes(bytes(self.body), wait)
             for item in self.items:
                 # One that the answer leaves out may have run.
-                self.finish(item, ends.get(item.id, Outcome(Result.ERROR, wait_us=wait)))
+                self.finish(item, ends.get(item.id, Outcome(Result.ERROR, wait_us=wait, spoilt=True)))
         elif noise:
-            self.finish_all(Outcome(Result.ERROR, wait_us=told_wait(self.headers)))
+            self.finish_all(Outcome(Result.ERROR, wait_us=told_wait(self.headers), spoilt=True))
         else:
             self.finish_all(single_outcome(self.status, self.headers))
         self.calls.release(self)
@@ -172,7 +173,7 @@
         """A failed attempt that may have run."""
         if self.path:
             self.calls.probe_ended(self, Result.ERROR)
-        self.finish_all(Outcome(Result.ERROR, wait_us=told_wait(self.headers)))
+        self.finish_all(Outcome(Result.ERROR, wait_us=told_wait(self.headers), spoilt=True))
         self.calls.release(self)
 
     def _unfinished(self) -> None:
--- a/hopmill/net/host.py
+++ b/hopmill/net/host.py
@@ -340,7 +340,8 @@
         if over:
             self.attempts.pop(item.number, None)
         self.tell(i.AttemptEnded(item.number, item.attempt, endpoint, outcome.result, max(1, latency), over,
-                                 outcome.wait_us, item.fresh if item.begun else None))
+                                 outcome.wait_us, item.fresh if item.begun else None,
+                                 outcome.spoilt))
         self._maybe_exit()
 
     def _probed(self, endpoint: int, result: i.Result, latency: int) -> None:
--- a/hopmill/net/http.py
+++ b/hopmill/net/http.py
@@ -215,6 +215,8 @@
             self._spoil()
         elif answer.whole and not self.closed:
             self._ended(answer)
+        if answer is not None and self.answer is not answer:
+            del answer.parser  # they hold each other: without this each answer waits for the collector
 
     def _ended(self, answer: Answer) -> None:
         self.answer = None
