Clients that keep their connection for good no longer take the places of those that come

ClientServer let idle clients be for 3 s, which at a hundred new ones a second is more than there are places, and made room from those that had only just connected (the "oldest never of use") before idle ones: 6002 connections, 57 % of requests turned away.

Now a quarter of the places at most is for clients with no request open, the longest idle go first, silent ones are held to a quarter too, and room is made from those silent for 0.25 s, then idle ones, then new ones.

--- a/hopmill/net/clients.py
+++ b/hopmill/net/clients.py
@@ -22,6 +22,8 @@
 STRIKES = 3  # requests of one connection that can't be used, then it is closed
 PAUSE_S = 0.1  # a connection is not read from for so long after the first of them, then twice as long
 WHOLE_S = 2.0  # a request must be whole within this, the first one from when the client connected
+SILENT_S = 0.25  # one that has sent nothing for so long since it came goes first when room is short
+IDLE_SHARE = 0.25  # of the places for clients is for those with no request open
 IDLE_S = 3.0  # a connection that was of use is kept for so long with no request open
 SWEEP_S = 0.25
 REST_S = 0.05  # accepting rests for so long when no descriptor can be freed
@@ -112,7 +114,8 @@
         self.closing = self.closed = False  # closing: nothing more is read, what is owed is still sent
         self.useful = False  # it has sent a request that could be used
         self.strikes = 0
-        self.due = self.loop.time() + WHOLE_S  # when it is closed, unless a whole request has come
+        self.since = self.loop.time()
+        self.due = self.since + WHOLE_S  # when it is closed, unless a whole request has come
         self.pause: asyncio.TimerHandle | None = None
         self.loop.add_reader(sock, self._readable)
 
@@ -168,6 +171,8 @@
             self._turn_down(reply, error)
         else:
             self.useful = True
+            if not self.pending and not self.closing:
+                self.server.rests(self)
 
     def _turn_down(self, reply: Reply, error: BadRequest) -> None:
         """One that asks the same again as soon as it is turned away must not take the others' turns: it is
@@ -195,6 +200,7 @@
     # Answering
 
     def _reply(self) -> Reply:
+        self.server.idle.pop(self, None)
         self.pending.append(Reply(self))
         return self.pending[-1]
 
@@ -206,6 +212,8 @@
             return
         if self.unsent:
             self._write()
+        if not self.pending and self.useful and not self.closing:
+            self.server.rests(self)
         if not self.pending:
             self.due = self.loop.time() + (IDLE_S if self.useful else WHOLE_S)
         if self.closing and not self.pending and not self.unsent:
@@ -276,6 +284,7 @@
     def __init__(self, put: Callable[[Put, Reply], None], max_clients: int) -> None:
         self.put, self.max_clients = put, max_clients
         self.clients: dict[Client, None] = {}  # the oldest first
+        self.idle: dict[Client, None] = {}  # those of use with no request open, the longest idle first
         self.loop = asyncio.get_event_loop()
         self.sock: socket.socket | None = None
         self.timers: dict[str, asyncio.TimerHandle] = {}
@@ -326,23 +335,38 @@
             self.clients[Client(self, sock)] = None
 
     def _make_room(self) -> bool:
-        """Close the oldest that was never of use, else the longest idle; never one with a request open."""
-        spare = next((c for c in self.clients if not c.useful and not c.pending), None)
-        if spare is None:
-            idle = [c for c in self.clients if c.between_requests]
-            spare = min(idle, key=lambda c: c.due, default=None)
+        """Close one that has been silent since it came, else the longest idle, else the oldest that was never
+        of use; never one with a request open. One that has only just connected is about to send."""
+        now = self.loop.time()
+        fresh = next((c for c in self.clients if not c.useful and not c.pending), None)  # the oldest
+        spare = fresh if fresh and now - fresh.since > SILENT_S else self._longest_idle() or fresh
         if spare is not None:
             spare.close()
         return spare is not None
 
+    def _longest_idle(self) -> Client | None:
+        return next((c for c in self.idle if c.between_requests), None)
+
+    def rests(self, client: Client) -> None:
+        """It has no request open any more. Where each client asks once and keeps its connection, those that
+        are kept would take the places of those that come: only some are."""
+        self.idle.pop(client, None)
+        self.idle[client] = None
+        if len(self.idle) > self.max_clients * IDLE_SHARE and (spare := self._longest_idle()):
+            spare.close()
+
     def _sweep(self) -> None:
         now = self.loop.time()
         for client in [c for c in self.clients if c.due <= now]:
             client.overdue(now)
+        silent = [c for c in self.clients if not c.useful and not c.pending and now - c.since > SILENT_S]
+        for client in silent[:max(0, len(silent) - int(self.max_clients * IDLE_SHARE))]:
+            client.close()
         self.timers["sweep"] = self.loop.call_later(SWEEP_S, self._sweep)
 
     def left(self, client: Client) -> None:
         self.clients.pop(client, None)
+        self.idle.pop(client, None)
 
     def stop_listening(self) -> None:
         if self.sock is not None:
