No time-out is shorter than the turns that would see the answer

Cause: a partner on the same machine answers in 0.3 ms, so that calls were given up after 1 ms, X-Timeout-Ms said 1, and a pause of the scheduler sent safe messages twice: the upgrade test failed by chance (3 of 12 runs).

Change: time-outs are three ticks at least.

--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -36,6 +36,7 @@
 # A call is given up once it is likely lost: with a share p of calls lost and a tail that shrinks by e for
 # each TAIL_X deviations, the odds that it still comes are ALIVE after TAIL_X * ln(1 / (ALIVE * p)) of them.
 TAIL_X, ALIVE = 1.35, 0.1
+LEAST_TICKS = 3  # an answer may lie so long before the turn that sees it: a shorter time-out tells nothing
 LOST_X = 4.0  # at 1/LOST_X lost, time-outs are no evidence
 LOSS, LOSS_MEMORY = 0.002, 1 / 32  # least share of calls taken as lost, weight of the newest call
 
@@ -272,7 +273,7 @@
         ep.c.trial_at = self.now + int(self.random.uniform(0.5, 1) * ep.c.gap)
 
     def timeout(self, lane: Lane) -> int:
-        return int(lane.mean + max(lane.mean, lane.dev * TAIL_X * math.log(1 / (ALIVE * self.loss))))
+        return max(LEAST_TICKS * self.s.tick_us, int(lane.mean + max(lane.mean, lane.dev * TAIL_X * math.log(1 / (ALIVE * self.loss)))))
 
     def fill(self, lane: Lane) -> float:
         if not lane.rate:
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -245,6 +245,16 @@
     assert lossy < 0.7 * h.courier.health.timeout(lane)
 
 
+def test_no_time_out_is_shorter_than_the_turns_that_would_see_the_answer():
+    h = Host(slots=40)
+    warm(h)
+    lane = h.courier.endpoints[100].lane
+    lane.mean, lane.dev = 300.0, 50.0  # a partner beside the courier answers sooner than the next turn comes
+    assert h.courier.health.timeout(lane) >= 3 * h.courier.s.tick_us
+    lane.mean, lane.dev = 50_000.0, 5_000.0
+    assert 50_000 < h.courier.health.timeout(lane) < 200_000
+
+
 def test_pace_grows_slowly_near_the_rate_that_was_refused_last():
     def growth(refused):
         h = Host(rate=4.0, couriers=2)
