--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -273,7 +273,8 @@
         ep.c.trial_at = self.now + int(self.random.uniform(0.5, 1) * ep.c.gap)
 
     def timeout(self, lane: Lane) -> int:
-        return max(LEAST_TICKS * self.s.tick_us, int(lane.mean + max(lane.mean, lane.dev * TAIL_X * math.log(1 / (ALIVE * self.loss)))))
+        tail = lane.dev * TAIL_X * math.log(1 / (ALIVE * self.loss))
+        return max(LEAST_TICKS * self.s.tick_us, int(lane.mean + max(lane.mean, tail)))
 
     def fill(self, lane: Lane) -> float:
         if not lane.rate:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -137,7 +137,7 @@
             client, count = await processes.client(), 0
             while not stop.is_set():
                 ident = f"c{n}-{count}"
-                # An unsafe one goes once; a safe one may go again after a time-out on a machine that stutters.
+                # An unsafe one goes once; a safe one may go again after a time-out.
                 reply = await client.put(ident, kind=("safe", "unsafe")[count % 2])
                 assert reply.startswith(("+OK", "-BUSY")), reply
                 if reply == "+OK":
