Simulation: scripts led by coverage, a corpus, and audits of sockets and restarts

Need: plain seeds reach what they reach; verdicts on mutants depended on the order in which they were played.

Mended: after an upgrade random numbers came from the machine, so that a run depended on what its process had played; endpoints taken out by hand on a full disk came back with an upgrade.

--- a/madderbeam/host/handover.py
+++ b/madderbeam/host/handover.py
@@ -52,7 +52,8 @@
     """All of a host that rests, for a process whose form is `wanted`; nothing of the host changes."""
     message: dict[str, Any] = {
         "series": SERIES, "drained": host.drain.on, "numbers": host.admission.numbers,
-        "waits": host.listing.waits_by_name(), "nodes": None, "calls": [], "clients": []}
+        "waits": host.listing.waits_by_name(), "bans": list(host.bans.ids), "nodes": None, "calls": [],
+        "clients": []}
     socks: list[Socket] = []
     if host.clients.sock is not None:
         socks.append(host.clients.sock)
@@ -82,14 +83,16 @@
     """What came from the process before: read, and nothing begun with it yet. graph.Unknown if it can't be
     read, which the process before must be told, so that it goes on."""
 
-    def __init__(self, message: dict[str, Any], socks: Sequence[Socket],
-                 settings: interface.Settings) -> None:
+    def __init__(self, message: dict[str, Any], socks: Sequence[Socket], settings: interface.Settings,
+                 seed: int) -> None:
+        """`seed`: of the random numbers that the decision module goes on with."""
         self.message, self.socks = message, socks
         if message.get("series") != SERIES:
             raise graph.Unknown(f"series {message.get('series')!r} of what is passed on")
         self.whole: dict[str, Any] | None = None
         if message["nodes"] is not None:
-            self.whole = graph.decode(message["nodes"], CLASSES, random.Random())
+            self.whole = graph.decode(message["nodes"], CLASSES,
+                                      random.Random(f"passed {seed} {message['numbers']}"))
             message["nodes"] = None
             if self.whole["courier"].s != settings:
                 log.warning("the settings have changed: messages come from the journal, as after a restart")
@@ -110,6 +113,7 @@
 def adopt(host: Host, passed: Passed) -> int:
     """Go on from there, with a host that has just been made. Returns the port."""
     whole, message = passed.whole, passed.message
+    host.bans.ids.update(dict.fromkeys(message.get("bans", ())))  # also those that the disk did not take
     if whole is None:
         for sock in passed.calls:  # what they carry may have run
             sock.close()
--- a/madderbeam/host/listing.py
+++ b/madderbeam/host/listing.py
@@ -65,7 +65,10 @@
         entry = i.ListEntry(number, int(target["pod_group"]), STATES[target["state"]],
                             float(target.get("capacity_hint") or 0.0), kind, zone)
         address = parse_address(target["endpoint"], "endpoint")
-        return (self._kept_out(entry) if uid in self.bans else entry), address
+        if uid in self.bans:
+            return self._kept_out(entry), address
+        self.told.pop(number, None)
+        return entry, address
 
     # By hand
 
--- a/madderbeam/host/upgrade.py
+++ b/madderbeam/host/upgrade.py
@@ -166,7 +166,7 @@
     await _readable(conn, SETTLE_S + PATIENCE_S)
     message, socks = passing.receive(conn)
     try:
-        passed = handover.Passed(message, socks, config.settings)
+        passed = handover.Passed(message, socks, config.settings, config.seed)
     except graph.Unknown as error:
         for sock in socks:
             sock.close()
--- a/madderbeam/simulation/books.py
+++ b/madderbeam/simulation/books.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from madderbeam.host.listing import STATES
@@ -19,8 +19,12 @@
 from madderbeam.policy.interface import EndpointState
 from madderbeam.policy.messages import Courier
 from madderbeam.policy.state import Call, Circuit, Lane
+from madderbeam.transport.calls import IDLE_EACH
+from madderbeam.transport.discovery import Link
+from madderbeam.transport.local import Feed
 
 EVERY_US = 400_000  # between two looks at one courier
+RESTARTS = 0.15  # of the looks read the folder as a process would that starts now
 REST_US = 1_000_000  # an order may be forgotten so long after its rest is over
 ASLEEP_US = 100_000  # a timer of the decision module is late by so much at the most, coarse grids included
 TOLD_US = 2_000_000  # a list that has stood for so long is known
@@ -203,6 +207,12 @@
 
 def turn(host: Host) -> Wrong:
     """What the host's rooms keep of messages, and the list."""
+    yield from _rooms(host)
+    yield from _list(host)
+    yield from _owed(host)
+
+
+def _rooms(host: Host) -> Wrong:
     c, j = host.courier, host.journal
     open_ = {n for n, m in j.held.items() if not m.status}
     known = {n for n, m in c.messages.items() if not m.closed}
@@ -213,7 +223,24 @@
     out = {item.number for call in host.calls.out for item in call.items}
     if lost := set(host.attempts.numbers) - set(j.held) - set(c.messages) - out:
         yield f"numbers of attempts are kept of messages that are over: {sorted(lost)[:5]}"
-    listing = host.listing
+    if host.admission.arriving.keys() - {m.id for m, _ in host.admission.arrived.values()}:
+        yield "ids arrive of messages that are answered"
+
+
+def _list(host: Host) -> Wrong:
+    """The list as the rooms, the decision module and those who run it see it."""
+    listing, c = host.listing, host.courier
+    if not host.events:
+        kept = {n: (ep.lane.dest.number, ep.state) for n, ep in c.endpoints.items()
+                if ep.state is not EndpointState.GONE}
+        wanted = {n: (entry.destination, entry.state) for n, entry in listing.entries.items()}
+        yield from _same("endpoints of the decision module", kept, wanted)
+    for number, entry in listing.entries.items():
+        by_hand = listing.names[number] in host.bans
+        if by_hand is not (number in listing.told):
+            yield f"whether endpoint {number} is out by hand: {by_hand}, and the list has it otherwise"
+        if by_hand and entry.state is EndpointState.READY:
+            yield f"endpoint {number} is out by hand and listed as ready"
     yield from _same("names of endpoints", listing.names, {n: uid for uid, n in listing.uids.items()})
     if set(listing.entries) != set(listing.names):
         yield f"endpoints that are named and not listed: {sorted(set(listing.names) ^ set(listing.entries))}"
@@ -223,6 +250,52 @@
         yield "what discovery tells is kept of endpoints that have gone"
 
 
+def _owed(host: Host) -> Wrong:
+    """Each notice that is owed is about to be told, and no other."""
+    if host.handed or host.closed.done():
+        return
+    notices = host.notices
+    telling = {*notices.waiting, *(notices.begun if isinstance(notices, Feed) else ()), *host.ends.unsettled}
+    staged = {row.record[1] for row in host.journal.staged if row.record[0] == "final"}
+    owed = {n for n, m in host.journal.held.items() if m.status}
+    if lost := owed - telling - staged:
+        yield f"notices are owed that nobody tells: {sorted(lost)[:5]}"
+
+
+def sockets(host: Host, open_: Iterable[Any]) -> Wrong:
+    """Each open socket is somebody's."""
+    h = host
+    links = [h.watch, h.notices]
+    lines = [link.connection for link in links if isinstance(link, Link)]
+    lines += [call.connection for call in h.calls.out]
+    lines += [line for pool in h.calls.pools.values() for line in pool.idle]
+    owned = {id(line.sock) for line in lines if line is not None}
+    owned |= {id(client.sock) for client in h.clients.clients} | {id(x.sock) for x in h.control.callers}
+    if lost := [sock for sock in open_ if id(sock) not in owned]:
+        yield f"{len(lost)} sockets are nobody's, the first to {lost[0].address}"
+
+
+def restarted(host: Host, read: Journal) -> Wrong:
+    """What a process would find that started now, against what this one knows. Not while records wait to be
+    written, nor for ends that the disk did not take yet."""
+    live = host.journal
+    if live.staged or live.unwritten or live.ending:
+        return
+
+    def rows(j: Journal) -> dict[str, Any]:
+        return {m.id: (n, m.status, m.tries, m.may_have_run_at, m.until, m.key, len(m.body))
+                for n, m in j.held.items() if n not in host.ends.unsettled}
+    found, known = rows(read), rows(live)
+    differ = sorted(ident for ident in {*found, *known} if found.get(ident) != known.get(ident))
+    if differ:
+        yield f"{differ[0]} is {known.get(differ[0])}, after a restart {found.get(differ[0])}"
+    now = live.wall()
+    for name, mine, its in (("ids", live.over, read.over), ("keys", live.keys, read.keys)):
+        due = {text for text, entry in mine.known.items() if entry[1] > now + 1 and entry[2]}
+        if lost := due - set(its.known):
+            yield f"{name} that a restart forgets: {sorted(lost)[:3]}"
+
+
 def listed(host: Host, told: dict[str, dict[str, Any]]) -> str:
     """What is wrong with the list, held against what discovery has told for a while; empty if nothing."""
     listing, names = host.listing, {state: name for name, state in STATES.items()}
@@ -246,11 +319,18 @@
     for number, pool in pools.items():
         if set(pool.idle) != set(pool.timers):
             yield f"idle connections to endpoint {number} with no time to end"
+        if len(pool.idle) > IDLE_EACH:
+            yield f"{len(pool.idle)} idle connections to endpoint {number}"
         if any(connection.closed for connection in pool.idle):
             yield f"an idle connection to endpoint {number} is closed"
+    if host.calls.idle > host.calls.max_idle:
+        yield f"{host.calls.idle} idle connections, of {host.calls.max_idle}"
     for call in host.calls.out:
-        if not call.timers:
+        if not any(not timer.cancelled() for timer in call.timers):
             yield "a call has no time-out"
-    for client in host.clients.clients:
+    clients = host.clients
+    if strange := [client for client in clients.idle if client not in clients.clients or client.pending]:
+        yield f"{len(strange)} clients are taken for idle and are not"
+    for client in clients.clients:
         if client.closed:
             yield "a client is kept whose connection is closed"
--- a/madderbeam/simulation/commands.py
+++ b/madderbeam/simulation/commands.py
@@ -41,12 +41,22 @@
     smaller.add_argument("--out", type=Path, default=Path("-"), metavar="FILE", help="default: here")
     smaller.add_argument("--runs", type=int, default=400, metavar="R", help="at most so many runs (400)")
     smaller.set_defaults(action=_shrink)
+    explore = commands.add_parser("explore", help="look for scripts that reach what seeds do not")
+    explore.add_argument("--seconds", type=float, default=60.0, metavar="S", help="search for so long (60)")
+    explore.add_argument("--corpus", type=Path, metavar="DIR", help="begin with these scripts, and keep what "
+                         "was found there: few that reach all of it")
+    explore.add_argument("--broken", type=Path, metavar="DIR", help="write scripts that break a rule here")
+    explore.add_argument("--plain", action="store_true", help="plain seeds alone, for comparison")
+    explore.add_argument("--seed", type=int, default=0, metavar="N", help="of the search (0)")
+    explore.add_argument("--jobs", type=int, default=0, metavar="J", help="processes (default: one a core)")
+    explore.set_defaults(action=_explore)
     mutate = commands.add_parser("mutate", help="plant faults by rule, and tell which the seeds do not find")
     mutate.add_argument("files", nargs="*", metavar="FILE", help="as policy/health.py (all)")
     mutate.add_argument("--since", default="", metavar="REV", help="only lines changed since that revision")
     mutate.add_argument("--sample", type=int, default=0, metavar="N", help="so many, by chance")
     mutate.add_argument("--jobs", type=int, default=0, metavar="J", help="processes (default: one a core)")
     mutate.add_argument("--report", type=Path, metavar="FILE", help="JSON lines; a run goes on from it")
+    mutate.add_argument("--corpus", type=Path, metavar="DIR", help="play these scripts beside plain seeds")
     mutate.add_argument("--missed", action="store_true", help="print each mutant that was not found")
     mutate.set_defaults(action=_mutate)
 
@@ -60,7 +70,7 @@
 
 
 def _mutate(args: argparse.Namespace) -> int:
-    from madderbeam.simulation import mutation
+    from madderbeam.simulation import explore, mutation
 
     if unknown := sorted(set(args.files) - set(mutation.sources())):
         print(f"madderbeam: FILE: must be one of {', '.join(mutation.sources())}, not {unknown[0]!r}",
@@ -68,6 +78,7 @@
         return 2
     try:
         wanted = mutation.chosen(args.files, args.since, args.sample)
+        scripts = explore.read(args.corpus) if args.corpus else []
     except ValueError as error:
         print(f"madderbeam: {error}", file=sys.stderr)
         return 2
@@ -75,7 +86,7 @@
     clock: Clock = RealClock()
     told = clock.monotonic_us()
     with open(args.report or os.devnull, "a") as report:
-        for verdict in mutation.score(wanted, args.jobs, rows.__contains__):
+        for verdict in mutation.score(wanted, args.jobs, rows.__contains__, scripts):
             row = rows[verdict.mutant.id] = verdict.row()
             report.write(json.dumps(row) + "\n")
             report.flush()
@@ -92,6 +103,32 @@
     return 0
 
 
+def _explore(args: argparse.Namespace) -> int:
+    from madderbeam.simulation import explore
+
+    search = explore.Search()
+    try:
+        begin = explore.read(args.corpus) if args.corpus and args.corpus.is_dir() else []
+    except ScriptError as error:
+        print(f"madderbeam: {error}", file=sys.stderr)
+        return 2
+    scripts = explore.plain() if args.plain else explore.led(search, begin, args.seed)
+
+    def told(search: explore.Search, found: explore.Reached) -> None:
+        if found.report.violation is not None:
+            print(found.report.line, flush=True)
+            if args.broken:
+                explore.write(args.broken, [r.script for r in search.broken])
+    explore.explore(search, scripts, args.seconds, args.jobs, told)
+    branches = sum(f[0] != "pair" for f in search.features)
+    chosen = explore.smallest(search.kept)
+    print(f"{search.runs} runs reached {branches} branches and {len(search.features) - branches} pairs of "
+          f"events; {len(search.kept)} reached something new, {len(chosen)} reach all of it")
+    if args.corpus:
+        explore.write(args.corpus, [r.script for r in chosen])
+    return 1 if search.broken else 0
+
+
 def _write(path: Path, text: str) -> None:
     if str(path) == "-":
         sys.stdout.write(text)
--- a/madderbeam/simulation/couriers.py
+++ b/madderbeam/simulation/couriers.py
@@ -20,6 +20,7 @@
 from madderbeam.host.upgrade import SETTLE_S
 from madderbeam.journal.clock import BOOT
 from madderbeam.journal.records import parse
+from madderbeam.journal.store import KEYS_S, Journal
 from madderbeam.ports import Address, Ports
 from madderbeam.simulation import local
 from madderbeam.simulation.agent import Agent
@@ -145,6 +146,9 @@
             self.host = self._sidecar(ports) if self.feed else \
                 process.start(self.loop, ports, self.env(), load(self.env(), self.disk))
         except ConfigError as error:
+            if isinstance(self.agent, ListKeeper) and self.agent.half:  # whoever keeps it starts it again
+                self.die()
+                return
             self.kernel.checker.broken("crash", f"{self.name} cannot start: {error}")
             return
         except (OSError, Held) as error:
@@ -214,6 +218,14 @@
             self.list_seen, self.list_at = told, self.kernel.now_us
         return max(self.list_at, self.life.ready_us)
 
+    def restarted(self) -> Journal:
+        """The journal as a process would find it that started now, read from a copy of the disk."""
+        assert self.host is not None
+        live = self.host.journal
+        disk = SimDisk(random.Random(0), lambda name: False)
+        disk.files = {path: bytearray(data) for path, data in self.disk.files.items()}
+        return Journal(disk, self.clock, live.folder, live.limit, live.key_s - KEYS_S)
+
     @property
     def works(self) -> bool:
         """The process has started and has not ended."""
@@ -268,7 +280,7 @@
         message = msgpack.unpackb(msgpack.packb(message), strict_map_key=False)
         self.kernel.note(self.name, "is upgraded", how=how, clients=len(message["clients"]),
                         calls=len(message["calls"]))
-        passed = handover.Passed(message, socks, old.s)
+        passed = handover.Passed(message, socks, old.s, old.config.seed)
         if how == "before":
             return
         before, self.loop = self.loop, process_loop(self.kernel.scheduler)
--- a/madderbeam/simulation/local.py
+++ b/madderbeam/simulation/local.py
@@ -28,6 +28,7 @@
         self.files = files  # the machine's, by path
         self.written: dict[bytes, tuple[int, list[dict[str, Any]]]] = {}  # version by content
         self.told_version = self.versions = 0
+        self.half = False  # its file is half written now
 
     def content(self) -> bytes:
         targets = list(self.targets.values())
@@ -56,6 +57,7 @@
         if self.spoilt and self.chance.random() < self.spoilt:
             data = self.content()
             self.files[LIST] = bytearray(data[:len(data) // 2])
+            self.half = True
             self.kernel.after(HALF_US, self._whole)
         else:
             self._whole()
@@ -63,6 +65,7 @@
     def _whole(self) -> None:
         data = self.content()
         self.files[LIST] = bytearray(data)
+        self.half = False
         self.kernel.after(READ_US, self.read, data)
 
     def quiet(self, on: bool) -> None:
--- a/madderbeam/simulation/mutants.py
+++ b/madderbeam/simulation/mutants.py
@@ -87,7 +87,8 @@
         if isinstance(node.func, ast.Name) and node.func.id in OTHER_NAME:
             yield "name", _changed(node, "func", ast.Name(OTHER_NAME[node.func.id], ast.Load()))
         plain = [at for at, a in enumerate(node.args) if not isinstance(a, ast.Starred)]
-        if len(plain) >= 2 and len(plain) == len(node.args):
+        same = isinstance(node.func, ast.Name) and node.func.id in OTHER_NAME  # in whatever order
+        if len(plain) >= 2 and len(plain) == len(node.args) and not same:
             yield "arguments", _changed(node, "args", [node.args[1], node.args[0], *node.args[2:]])
 
 
--- a/madderbeam/simulation/mutation.py
+++ b/madderbeam/simulation/mutation.py
@@ -15,7 +15,6 @@
 import signal
 import statistics
 import subprocess
-import sys
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
@@ -25,16 +24,21 @@
 from madderbeam.simulation import claims
 from madderbeam.simulation.kernel import Report
 from madderbeam.simulation.mutants import ROOT, Mutant, mutants, plant, sources
+from madderbeam.simulation.reach import Line, headers, reached
 from madderbeam.simulation.runs import draw, play
+from madderbeam.simulation.script import Script
 
-SEEDS = 40  # that reach a mutant's function, at the most, until it counts as not found
-REACH = 60  # seeds by which it is looked which functions are reached
-SEED_S = 10.0  # seconds of the machine for one seed: longer is a hang
+RUNS = 14  # that reach a mutant's statement, at the most, until it counts as not found
+DECIDED = 24  # as that, of decisions, which are judged by quality as well
+SAME = 8  # runs in which a mutant changes nothing at all, after which it is played no more
+REACH = 96  # plain seeds among which there is one that reaches it, beside the scripts that are given
+RUN_S = 10.0  # seconds of the machine for one run: longer is a hang
 MEMORY = 2 << 30  # bytes of a worker
-PAIRS, SURE = 10, 4.0  # seeds for a verdict on quality at least, and standard errors that a loss must be over
+PAIRS, SURE = 10, 4.0  # runs for a verdict on quality at least, and standard errors that a loss must be over
+DECISIONS = "policy/"
 FOUND = ("rule", "crash", "hang", "quality")
 Measures = tuple[float, float, float]  # of a run: worth lost, attempts a message, refusals
-VERDICTS = (*FOUND, "not found", "not reached")
+VERDICTS = (*FOUND, "not found", "no difference", "not reached")
 
 
 class Hang(BaseException):
@@ -78,66 +82,73 @@
     return ""
 
 
-def judge(mutant: Mutant, seeds: Iterable[int], usual: dict[int, Measures] | None = None) -> Verdict:
-    """Plant the mutant, for good, and play seeds until one finds it. In a process of its own.
+@dataclass(frozen=True)
+class Day:
+    """A script to play, and what came of it with no mutant."""
+
+    script: Script
+    measures: Measures | None
+    outcome: tuple[Any, ...]
+    steps: int = 0  # what it costs: by time of the machine verdicts would depend on how busy that is
+
+
+def outcome(report: Report) -> tuple[Any, ...]:
+    """What two runs alike have in common: every step of one that differs moves these."""
+    return (report.steps, report.messages, report.calls, report.delivered, report.refused, report.kills,
+            report.quality)
 
-    `usual`: what these seeds measure without it; where no rule breaks, a loss beyond chance finds it too.
-    """
-    pairs = []
+
+def judge(mutant: Mutant, days: Sequence[Day]) -> Verdict:
+    """Plant the mutant, for good, and play days until one finds it. In a process of its own. Where no rule
+    breaks, a loss beyond chance finds it too."""
     resource.setrlimit(resource.RLIMIT_AS, (MEMORY, MEMORY))
     signal.signal(signal.SIGALRM, _alarm)
     try:
         plant(mutant)
     except (SyntaxError, ValueError) as error:  # no program: nobody could have written it
         return Verdict(mutant, "crash", -1, f"{type(error).__name__}: {error}")
-    for seed in seeds:
-        signal.setitimer(signal.ITIMER_REAL, SEED_S)
+    pairs, differs = [], False
+    for number, day in enumerate(days):
+        if number >= SAME and not differs:
+            break
+        signal.setitimer(signal.ITIMER_REAL, RUN_S)
         try:
-            report = play(draw(seed))
+            report = play(day.script)
             violation = report.violation
         except Hang:
-            return Verdict(mutant, "hang", seed)
+            return Verdict(mutant, "hang", day.script.seed)
         except BaseException as error:  # noqa: B036 - whatever the mutant brings about is its verdict
-            return Verdict(mutant, "crash", seed, f"{type(error).__name__}: {error}"[:200])
+            return Verdict(mutant, "crash", day.script.seed, f"{type(error).__name__}: {error}"[:200])
         finally:
             signal.setitimer(signal.ITIMER_REAL, 0)
         if violation is not None:
             kind = "crash" if violation.rule == "crash" else "hang" if violation.rule == "spin" else "rule"
-            return Verdict(mutant, kind, seed, violation.rule)
-        if usual and seed in usual:
-            pairs.append((usual[seed], measures(report)))
+            return Verdict(mutant, kind, day.script.seed, violation.rule)
+        differs |= outcome(report) != day.outcome
+        if day.measures is not None and report.quality:
+            pairs.append((day.measures, measures(report)))
+    if not differs:
+        return Verdict(mutant, "no difference", -1, f"{min(len(days), SAME)} runs")
     if loss := worse(pairs):
         return Verdict(mutant, "quality", -1, loss)
-    if mutant.path.startswith("policy/") and (lines := claims.judged()):
+    if mutant.path.startswith(DECISIONS) and (lines := claims.judged()):
         return Verdict(mutant, "rule", -1, lines[0])
     return Verdict(mutant, "not found")
 
 
-def reached(seed: int) -> tuple[int, frozenset[str], Measures | None]:
-    """The courier's functions that a seed runs, as path:name, and what it measures without a mutant."""
-    found: set[Any] = set()
-
-    def profile(frame: Any, event: str, _: Any) -> None:
-        if event == "call":
-            found.add(frame.f_code)
-
-    sys.setprofile(profile)
-    try:
-        report = play(draw(seed))
-    finally:
-        sys.setprofile(None)
-    names = set()
-    for code in found:
-        path = Path(code.co_filename)
-        if path.is_relative_to(ROOT):
-            name = code.co_qualname.split(".<locals>")[0]
-            names.add(f"{path.relative_to(ROOT).as_posix()}:{name}")
-    return seed, frozenset(names), measures(report) if report.quality else None
+def _task(task: tuple[Mutant, tuple[Day, ...]]) -> Verdict:
+    mutant, days = task
+    return judge(mutant, days) if days else Verdict(mutant, "not reached")
 
 
-def _task(task: tuple[Mutant, tuple[int, ...], dict[int, Measures]]) -> Verdict:
-    mutant, seeds, usual = task
-    return judge(mutant, seeds, usual) if seeds else Verdict(mutant, "not reached")
+def _look(script: Script) -> tuple[Script, frozenset[Line], Day | None]:
+    """What a script reaches, and the day it makes; none if it breaks a rule without a mutant."""
+    found = reached(script)
+    report = found.report
+    if report.violation is not None:
+        return script, found.lines, None
+    return script, found.lines, Day(script, measures(report) if report.quality else None, outcome(report),
+                                    found.cost)
 
 
 def chosen(paths: Iterable[str] = (), since: str = "", sample: int = 0, seed: int = 0) -> list[Mutant]:
@@ -163,29 +174,44 @@
 
 
 def score(wanted: list[Mutant], jobs: int = 0, known: Callable[[str], bool] = lambda ident: False,
-          seeds: int = SEEDS) -> Iterator[Verdict]:
-    """Verdicts as they come, but for those that are known by id."""
+          scripts: Iterable[Script] = (), reach: int = REACH) -> Iterator[Verdict]:
+    """Verdicts as they come, but for those that are known by id. Played are these scripts and so many plain
+    seeds, as far as they reach a mutant's statement."""
     todo = [m for m in wanted if not known(m.id)]
     if not todo:
         return
     jobs = jobs or os.cpu_count() or 1
     context = multiprocessing.get_context("fork")
+    plays = [*scripts, *map(draw, range(reach))]
     with context.Pool(jobs) as pool:
-        rows = list(pool.imap_unordered(reached, range(REACH), 4))
-    reach = {seed: names for seed, names, _ in rows}
-    usual = {seed: found for seed, _, found in rows if found is not None}
-    by_name: dict[str, list[int]] = {}
-    for seed in sorted(reach):
-        for name in reach[seed]:
-            by_name.setdefault(name, []).append(seed)
-
-    def seeds_of(m: Mutant) -> tuple[int, ...]:
-        if m.name.isupper():  # a constant: whoever uses it is not looked for
-            return tuple(range(seeds))
-        return tuple(by_name.get(f"{m.path}:{m.name}", ())[:seeds])
-
+        rows = [(lines, day) for _, lines, day in pool.imap(_look, plays, 2) if day is not None]
+    days_of = Chosen(rows)
     with context.Pool(jobs, maxtasksperchild=1) as pool:
-        yield from pool.imap_unordered(_task, [(m, seeds_of(m), usual) for m in todo], 1)
+        yield from pool.imap_unordered(_task, [(m, days_of(m)) for m in todo], 1)
+
+
+class Chosen:
+    """Which days a mutant is played on: those that reach its statement, the cheapest first."""
+
+    def __init__(self, rows: Iterable[tuple[frozenset[Line], Day]]) -> None:
+        self.by_line: dict[Line, list[Day]] = {}
+        self.all: list[Day] = []
+        self.heads: dict[str, dict[int, range]] = {}
+        for lines, day in sorted(rows, key=lambda row: row[1].steps):
+            self.all.append(day)
+            for line in lines:
+                self.by_line.setdefault(line, []).append(day)
+
+    def __call__(self, m: Mutant) -> tuple[Day, ...]:
+        most = DECIDED if m.path.startswith(DECISIONS) else RUNS
+        if m.name.isupper():  # a constant: whoever uses it is not looked for
+            return tuple(self.all[:most])
+        if m.path not in self.heads:
+            self.heads[m.path] = headers((ROOT / m.path).read_text())
+        found: dict[int, Day] = {}
+        for line in self.heads[m.path].get(m.line, range(m.line, m.line + 1)):
+            found.update((id(day), day) for day in self.by_line.get((m.path, line), ()))
+        return tuple(sorted(found.values(), key=lambda day: day.steps)[:most])
 
 
 def read(path: Path) -> dict[str, dict[str, Any]]:
--- a/madderbeam/simulation/world.py
+++ b/madderbeam/simulation/world.py
@@ -36,6 +36,7 @@
         audited: their books are looked at, which only those of this checkout are sure to keep."""
         super().__init__(script, served, trace)
         self.begin, self.audited = begin, audited
+        self.chance_of_books = random.Random(f"books {script.seed}")
         self.scheduler.failed = self._failed
         self.chance = random.Random(f"world {script.seed}")
         self.endpoints: list[Endpoint] = []
@@ -223,6 +224,9 @@
         if not self.audited or host is None or not machine.works or host.handed:
             return
         found = books.wrong(host, machine.clock.monotonic_us()) or (end and books.left(host))
+        found = found or next(books.sockets(host, machine.network.open), "")
+        if not found and (end or self.chance_of_books.random() < books.RESTARTS):
+            found = next(books.restarted(host, machine.restarted()), "")
         if not found and self.now_us - machine.steady_since() > books.TOLD_US:
             found = books.listed(host, machine.agent.told)
         if found:
--- a/tests/simulation/test_mutation.py
+++ b/tests/simulation/test_mutation.py
@@ -7,16 +7,28 @@
 
 from madderbeam.cli import main
 from madderbeam.simulation import mutants, mutation
+from madderbeam.simulation.runs import draw, play
 
 
 def every(path):
     return mutants.mutants(path)
 
 
-def apart(mutant, seeds=range(12)):
+def days(seeds, known=True):
+    """What these seeds are without a mutant; not known: only to look for broken rules."""
+    found = []
+    for seed in seeds:
+        script = draw(seed)
+        report = play(script) if known else None
+        found.append(mutation.Day(script, report and mutation.measures(report),
+                                  mutation.outcome(report) if report else ()))
+    return found
+
+
+def apart(mutant, played):
     """The verdict, in a process of its own."""
     with multiprocessing.get_context("fork").Pool(1) as pool:
-        return pool.apply(mutation.judge, (mutant, seeds))
+        return pool.apply(mutation.judge, (mutant, played))
 
 
 def one(path, name, rule, before):
@@ -44,26 +56,44 @@
     ("policy/messages.py", "Courier._pump", "condition", "picks"),
 ])
 def test_a_mutant_is_found_by_what_it_breaks(path, name, rule, before):
-    assert apart(one(path, name, rule, before), range(40)).verdict in mutation.FOUND
+    assert apart(one(path, name, rule, before), days(range(40), known=False)).verdict in mutation.FOUND
 
 
 def test_a_mutant_that_nothing_can_tell_is_not_found():
     # Whether a wait ends at its last microsecond or behind it.
     same = one("host/listing.py", "Listing.may_write", "compare", "<=")
-    assert apart(same, range(4)).verdict == "not found"
+    assert apart(same, days(range(4))).verdict == "no difference"
+
+
+def test_a_mutant_has_the_same_verdict_in_any_order_and_on_any_number_of_workers():
+    wanted = [one("host/ends.py", "Ends._notify", "left out", "self.notices.add"),
+              one("host/listing.py", "Listing.may_write", "compare", "<="),
+              one("host/ends.py", "Ends.unguard", "left out", "guard.cancel")]
+    alone = [(v.mutant.id, v.verdict, v.seed, v.detail) for v in mutation.score(wanted, 1, reach=6)]
+    many = [(v.mutant.id, v.verdict, v.seed, v.detail) for v in mutation.score(wanted[::-1], 3, reach=6)]
+    assert sorted(alone) == sorted(many) and len(alone) == 3
+
+
+def test_a_mutant_is_played_on_days_that_reach_its_statement_the_cheapest_first():
+    cheap, dear = (mutation.Day(draw(n), None, (), steps) for n, steps in ((1, 5), (2, 9)))
+    m = one("host/listing.py", "Listing.may_write", "compare", "<=")
+    chosen = mutation.Chosen([(frozenset({(m.path, m.line)}), dear), (frozenset({(m.path, m.line)}), cheap),
+                              (frozenset({(m.path, 1)}), mutation.Day(draw(3), None, (), 1))])
+    assert chosen(m) == (cheap, dear)
 
 
 def test_a_mutant_that_loops_for_ever_is_a_hang(monkeypatch):
-    monkeypatch.setattr(mutation, "SEED_S", 1.0)
+    monkeypatch.setattr(mutation, "RUN_S", 1.0)
     monkeypatch.setattr(mutation, "play", lambda script: [None for _ in iter(int, 1)])
-    assert apart(every("host/ends.py")[0]).verdict == "hang"
+    assert apart(every("host/ends.py")[0], days([0], known=False)).verdict == "hang"
 
 
 def test_a_mutant_that_eats_memory_or_ends_its_worker_is_a_crash(monkeypatch):
     monkeypatch.setattr(mutation, "play", lambda script: bytearray(8 << 30))
-    assert apart(every("host/ends.py")[0]).detail.startswith("MemoryError")
+    played = days([0], known=False)
+    assert apart(every("host/ends.py")[0], played).detail.startswith("MemoryError")
     monkeypatch.setattr(mutation, "play", lambda script: exit(3))
-    assert apart(every("host/ends.py")[0]).detail == "SystemExit: 3"
+    assert apart(every("host/ends.py")[0], played).detail == "SystemExit: 3"
 
 
 def test_a_mutant_that_is_stale_is_told():
@@ -102,7 +132,4 @@
 def test_a_mutant_that_breaks_no_rule_and_serves_worse_is_found_by_quality():
     # Each whole list takes out the endpoints that it names: messages are refused, and no rule forbids that.
     slow = one("policy/messages.py", "Courier._listed", "compare", "ident not in named")
-    usual = {seed: mutation.reached(seed)[2] for seed in range(16)}
-    with multiprocessing.get_context("fork").Pool(1) as pool:
-        verdict = pool.apply(mutation.judge, (slow, range(16), usual))
-    assert verdict.verdict in mutation.FOUND
+    assert apart(slow, days(range(16))).verdict in mutation.FOUND
--- a/tests/simulation/test_planted.py
+++ b/tests/simulation/test_planted.py
@@ -1,4 +1,4 @@
-"""Each planted bug is found by its noted seed or within the first 300, under the name of a rule that it breaks.
+"""Each planted bug is found by its noted seed or the first 300, under the name of a rule that it breaks.
 
 All of them are looked for at once, each in a process of its own: one after the other they would take minutes.
 `python tests/simulation/test_planted.py [NAME...]` prints those whose noted seed does not find them any more.
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -267,7 +267,7 @@
     right.close()
     change(message)
     config = load(fleet.env(), RealDisk())
-    passed = handover.Passed(message, socks, settings_ or config.settings)
+    passed = handover.Passed(message, socks, settings_ or config.settings, 1)
     host.let_go()
     loop = asyncio.get_running_loop()
     fleet.host = start(loop, real_ports(loop), fleet.env(), config, passed=passed)
@@ -309,7 +309,7 @@
                    {"listens": 2}):
         message, socks = handover.snapshot(fleet.host, handover.form())
         with pytest.raises(graph.Unknown):
-            handover.Passed({**message, **change}, socks, fleet.host.s)
+            handover.Passed({**message, **change}, socks, fleet.host.s, 1)
 
 
 # The graph
