Quotas: the tree, borrowing and debts, and times to come back (pure; nothing uses it yet)

Need: one flooding ensemble takes nothing from the others, and pays back what it borrows.

Whole numbers throughout.

--- /dev/null
+++ b/bench/quota.py
@@ -0,0 +1,62 @@
+"""What an admission by the quotas' tree costs: CPU and memory, by depth and by how many nodes there are.
+
+    python bench/quota.py [--nodes 10000] [--depth 4] [--messages 40000]
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import statistics
+import time
+import tracemalloc
+
+from madderbeam.quota.tree import NONE, Limit, Limits, Node, Passed, Tree
+
+
+def limits(amount: int, dims: int, reserved: int = 0) -> Limits:
+    rows = [Limit(amount, 0, reserved), Limit(amount * 1000, amount * 64_000),
+            Limit(amount * 1800), Limit(amount * 500_000)]
+    return tuple(row if at < dims else None for at, row in enumerate(rows))  # type: ignore[return-value]
+
+
+def grown(nodes: int, depth: int, dims: int) -> tuple[Tree, list[Node]]:
+    """A tree of this depth with so many leaves, each with a share in all dimensions."""
+    fan = max(2, round(nodes ** (1 / (depth - 1))))
+    tree = Tree(limits(fan ** (depth - 1) * 8, dims))
+    level = [tree.root]
+    for height in range(depth - 2, -1, -1):
+        amount = fan ** height * 8
+        own = limits(amount, dims)
+        level = [tree.add(parent, str(n), own, own if height else NONE)
+                 for parent in level for n in range(fan)]
+    return tree, level
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--nodes", type=int, default=10_000)
+    parser.add_argument("--depth", type=int, default=4)
+    parser.add_argument("--messages", type=int, default=40_000)
+    args = parser.parse_args()
+    for dims in (1, 2, 4):
+        tracemalloc.start()
+        tree, leaves = grown(args.nodes, args.depth, dims)
+        size = tracemalloc.get_traced_memory()[0] / tree.size
+        tracemalloc.stop()
+        chance = random.Random(1)
+        asked = [(chance.choice(leaves), chance.randrange(20, 2000), at * 20) for at in range(args.messages)]
+        costs = []
+        passed = 0
+        for first in range(0, args.messages, args.messages // 10):
+            part = asked[first:first + args.messages // 10]
+            began = time.process_time()
+            passed += sum(isinstance(tree.admit(*row), Passed) for row in part)
+            costs.append((time.process_time() - began) / len(part) * 1e6)
+        print(f"{tree.size} nodes, depth {args.depth}, {dims} dimensions: {statistics.median(costs):.1f} us "
+              f"a message (best {min(costs):.1f}), {size:.0f} bytes a node, "
+              f"{passed / args.messages:.0%} passed")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/madderbeam/quota/tree.py
@@ -0,0 +1,245 @@
+"""The tree of quotas: a message passes if each node on its path has room in each dimension, all or nothing.
+
+What a message takes of a child's reserved part it may take of the parent's reserved part further up, and
+only that: what is borrowed below can never use up what is reserved above. So each reserved part has to be
+within the parent's own, which `Tree.add` holds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from madderbeam.quota.split import HOUR, SECOND, UNIT, Part, Split
+
+DIMENSIONS = (("messages", SECOND), ("bytes", SECOND), ("messages", HOUR), ("bytes", HOUR))
+LONGEST_US = 4 * 3_600_000_000  # after which all that is lent or owed has come back
+EXACT_US = 1_000  # a time to come back is that exact
+
+
+@dataclass(frozen=True)
+class Limit:
+    """What passes in a second or an hour, in messages or bytes; a share is a part of the parent's limit."""
+
+    amount: int
+    burst: int = 0  # messages or bytes at once, of limits by the second; 0: one second's
+    reserved: int = 0  # of a share: what no one borrows
+
+    def __post_init__(self) -> None:
+        if self.amount <= 0 or self.burst < 0 or not 0 <= self.reserved <= self.amount:
+            raise ValueError("a limit is above 0, its burst 0 or more, its reserved part from 0 to all of it")
+
+    @property
+    def at_once(self) -> int:
+        return self.burst or self.amount
+
+
+Limits = tuple[Limit | None, Limit | None, Limit | None, Limit | None]  # in the order of DIMENSIONS
+NONE: Limits = (None, None, None, None)
+
+
+@dataclass(frozen=True)
+class Passed:
+    """It has been counted at each node of its path."""
+
+    borrowed: bool = False  # some of it
+
+
+@dataclass(frozen=True)
+class Refused:
+    """There is no room now."""
+
+    node: str
+    dimension: str
+    after_us: int  # it would pass then if nothing else came
+
+
+@dataclass(frozen=True)
+class Never:
+    """It is larger than what may pass at once, however long it waits."""
+
+    node: str
+    dimension: str
+    most: int  # messages or bytes
+
+
+class Node:
+    """One node: its limits, split among its children, and its parts in its parent's."""
+
+    __slots__ = ("name", "parent", "splits", "parts", "children")
+
+    def __init__(self, name: str, parent: Node | None) -> None:
+        self.name, self.parent = name, parent
+        self.splits: list[Split | None] = [None] * 4
+        self.parts: list[Part | None] = [None] * 4
+        self.children: dict[str, Node] = {}
+
+    @property
+    def path(self) -> str:
+        above = self.parent.path if self.parent else ""
+        return f"{above}/{self.name}" if above else self.name
+
+
+@dataclass(frozen=True)
+class Use:
+    """What `quota show` tells of one node in one dimension, in messages or bytes, rounded down."""
+
+    node: str
+    dimension: str
+    room: int  # that it may take now
+    borrowed: int
+    owed: int
+
+
+class Tree:
+    """All nodes, from the root on. Times are a monotonic clock's microseconds."""
+
+    def __init__(self, limits: Limits = NONE, now: int = 0, name: str = "all") -> None:
+        self.root = self._node(name, None, limits, now)
+        self.size = 1
+
+    @staticmethod
+    def _node(name: str, parent: Node | None, limits: Limits, now: int) -> Node:
+        node = Node(name, parent)
+        for at, (limit, (_, per)) in enumerate(zip(limits, DIMENSIONS, strict=True)):
+            if limit is not None:
+                node.splits[at] = Split(limit.amount, per, limit.at_once, now)
+        return node
+
+    def add(self, parent: Node, name: str, shares: Limits = NONE, limits: Limits = NONE,
+            now: int = 0) -> Node:
+        """A child with its shares of the parent's limits and limits of its own. ValueError, in one line that
+        names node and dimension, if the shares of all children are more than the limit, or what they have
+        reserved is more than the parent has."""
+        if name in parent.children:
+            raise ValueError(f"{parent.path}/{name}: is there already")
+        node = self._node(name, parent, limits, now)
+        for at, share in enumerate(shares):
+            if share is None:
+                continue
+            split, what = parent.splits[at], f"{node.path}: {' a '.join(DIMENSIONS[at])}"
+            if split is None:
+                raise ValueError(f"{what}: a share needs a limit of {parent.path}")
+            self._reserves(parent, at, share, what)
+            try:
+                node.parts[at] = split.part(share.amount, share.reserved, share.at_once, now)
+            except ValueError as error:
+                raise ValueError(f"{what}: {error}") from None
+        parent.children[name] = node
+        self.size += 1
+        return node
+
+    @staticmethod
+    def _reserves(parent: Node, at: int, share: Limit, what: str) -> None:
+        above = parent.parts[at]
+        split = parent.splits[at]
+        assert split is not None
+        if above is None or not share.reserved:
+            return
+        kept = sum(part.reserved.rate for part in split.parts)
+        if kept + share.reserved * (14_400 if split.per == SECOND else 3) > above.reserved.rate:
+            raise ValueError(f"{what}: what children have reserved is within what {parent.path} has")
+
+    # Admission
+
+    def admit(self, node: Node, size: int, now: int) -> Passed | Refused | Never:
+        """A message of so many bytes at this node: taken at each node of its path, or at none."""
+        plan: list[tuple[Split, Part | None, int, int, int, int]] = []
+        for at in range(4):
+            need = UNIT if at % 2 == 0 else size * UNIT
+            lower = -1  # what it takes of the reserved part below, -1 at the leaf
+            part: Part | None = None
+            here: Node | None = node
+            while here is not None:
+                split = here.splits[at]
+                if split is not None:
+                    time = split.settle(now)
+                    found = self._taken(split, part, need, lower, time)
+                    if found is None:
+                        return self._refused(node, size, now)
+                    plan.append((split, part, *found, time))
+                    if part is not None:
+                        lower = found[0]
+                part = here.parts[at]
+                here = here.parent
+        borrowed = False
+        for split, part, reserved, own, pool, time in plan:
+            if part is None:
+                split.pool -= pool
+            else:
+                split.take(part, reserved, own, pool, time)
+                borrowed |= bool(pool) and part.shared
+        return Passed(borrowed)
+
+    @staticmethod
+    def _taken(split: Split, part: Part | None, need: int, lower: int,
+               now: int) -> tuple[int, int, int] | None:
+        """Of the reserved part, the own bucket and the pool; None if there is not enough."""
+        if part is None:
+            return (0, 0, need) if split.pool >= need else None
+        reserved = min(need if lower < 0 else lower, part.reserved.at(now))
+        own = min(need - reserved, part.own(now))
+        pool = need - reserved - own
+        return (reserved, own, pool) if pool <= split.lends(part, now) else None
+
+    # Refusals
+
+    @staticmethod
+    def _levels(node: Node, at: int) -> Iterator[tuple[Node, Split, Part | None]]:
+        part: Part | None = None
+        here: Node | None = node
+        while here is not None:
+            if (split := here.splits[at]) is not None:
+                yield here, split, part
+            part = here.parts[at]
+            here = here.parent
+
+    def _refused(self, node: Node, size: int, now: int) -> Refused | Never:
+        """Why, and when it would pass: the latest of all that stand in its way."""
+        worst: Refused | None = None
+        for at, dimension in enumerate(DIMENSIONS):
+            need = UNIT if at % 2 == 0 else size * UNIT
+            for here, split, part in self._levels(node, at):
+                what = " a ".join(dimension)
+                if split.most(part) < need:
+                    return Never(here.path, what, split.most(part) // UNIT)
+                after = self._after(split, part, need, split.settle(now))
+                if worst is None or after > worst.after_us:
+                    worst = Refused(here.path, what, after)
+        assert worst is not None
+        return worst
+
+    @staticmethod
+    def _after(split: Split, part: Part | None, need: int, now: int) -> int:
+        """Microseconds until there is room, if nothing else comes."""
+        if split.later(part, now, 0) >= need:
+            return 0
+        low, high = 0, LONGEST_US
+        while high - low > EXACT_US:
+            middle = (low + high) // 2
+            if split.later(part, now, middle) >= need:
+                high = middle
+            else:
+                low = middle
+        return high
+
+    # Reading
+
+    def nodes(self, node: Node | None = None) -> Iterator[Node]:
+        """All, parents first."""
+        node = node or self.root
+        yield node
+        for child in node.children.values():
+            yield from self.nodes(child)
+
+    def use(self, now: int) -> Iterator[Use]:
+        """A line for each share of each node."""
+        for node in self.nodes():
+            for at, part in enumerate(node.parts):
+                if part is not None and node.parent is not None:
+                    split = node.parent.splits[at]
+                    assert split is not None
+                    time = split.settle(now)
+                    room = part.reserved.at(time) + part.own(time) + split.lends(part, time)
+                    yield Use(node.path, " a ".join(DIMENSIONS[at]), room // UNIT, part.borrowed // UNIT,
+                              part.owes(time) // UNIT)
