--- a/madderbeam/quota/split.py
+++ b/madderbeam/quota/split.py
@@ -20,6 +20,7 @@
 SECOND, HOUR = "second", "hour"
 REPAY_US = {SECOND: 10_000_000, HOUR: 900_000_000}  # within which any debt is paid, by the limit's time
 FULL, FILLING, OWES = range(3)
+NEVER = 1 << 62
 
 
 def rate_of(amount: int, per: str) -> int:
@@ -57,15 +58,16 @@
 class Part:
     """One child's part in a split."""
 
-    __slots__ = ("reserved", "rate", "holds", "level", "debt", "since", "state", "turn", "most_debt",
-                 "borrowed", "repaid")
+    __slots__ = ("reserved", "rate", "holds", "level", "debt", "since", "state", "pending", "most_debt",
+                 "borrowed", "repaid", "shared")
 
     def __init__(self, reserved: Bucket, rate: int, holds: int, repay_us: int, now: int) -> None:
         """`rate`, `holds`: of the share beside its reserved part."""
         self.reserved, self.rate, self.holds = reserved, rate, holds
         self.level, self.debt, self.since, self.state = holds, 0, now, FULL
-        self.turn = 0  # a change of state that was foreseen before another came is void
+        self.pending = NEVER  # when it is looked at next
         self.most_debt = rate * repay_us
+        self.shared = bool(rate or reserved.rate)  # what it takes beyond its share is borrowed
         self.borrowed = self.repaid = 0  # in all, in units
 
     def own(self, now: int) -> int:
@@ -75,10 +77,10 @@
     def owes(self, now: int) -> int:
         return self.debt - self.rate * (now - self.since) if self.state == OWES else 0
 
-    @property
-    def shared(self) -> bool:
-        """It has a share, so that what it takes beyond is borrowed."""
-        return bool(self.rate or self.reserved.rate)
+    def ends(self) -> int:
+        """When it leaves the state that it is in, if that is not FULL."""
+        units = self.debt if self.state == OWES else self.holds - self.level
+        return self.since + _over(units, self.rate) if self.rate else NEVER
 
 
 class Split:
@@ -93,7 +95,7 @@
         self.pool = self.pool_holds = self.holds
         self.flowing = 0  # into the pool, of the shares of children that are full or owe
         self.since = now
-        self.due: list[tuple[int, int, int, Part]] = []  # changes of state, by time
+        self.due: list[tuple[int, int, Part]] = []  # changes of state, by time
         self.parts: list[Part] = []
         self.count = 0
 
@@ -121,8 +123,15 @@
         """Do what is due until then; the time, which never goes back."""
         due = self.due
         while due and due[0][0] <= now:
-            at, _, turn, part = heapq.heappop(due)
-            if part.turn == turn:
+            at, _, part = heapq.heappop(due)
+            if part.pending != at:
+                continue  # an earlier one was foreseen since
+            part.pending = NEVER
+            if part.state == FULL:
+                continue
+            if (end := part.ends()) > at:  # it has taken more since
+                self._foresee(part, end)
+            else:
                 self._flow(at)
                 self._change(part, at)
         self._flow(now)
@@ -148,18 +157,22 @@
             over = max(0, part.level - part.holds)
             part.level -= over
             self.pool = min(self.pool_holds, self.pool + over)
-        self._enter(part, at)
+        self._enter(part)
 
-    def _enter(self, part: Part, now: int) -> None:
+    def _enter(self, part: Part) -> None:
         """The state that a part is in as it stands, and when it leaves it."""
         flowed = part.state != FILLING
         part.state = OWES if part.debt else FILLING if part.level < part.holds and part.rate else FULL
         self.flowing += part.rate * ((part.state != FILLING) - flowed)
-        part.turn += 1
-        if part.state != FULL and part.rate:
-            units = part.debt if part.state == OWES else part.holds - part.level
-            self.count += 1
-            heapq.heappush(self.due, (now + _over(units, part.rate), self.count, part.turn, part))
+        if part.state != FULL and (end := part.ends()) < part.pending:
+            self._foresee(part, end)
+
+    def _foresee(self, part: Part, at: int) -> None:
+        """One instant for each part stands in the queue: as a part takes more it comes too early, and then
+        the next is foreseen."""
+        part.pending = at
+        self.count += 1
+        heapq.heappush(self.due, (at, self.count, part))
 
     # Taking; `now` is what settle gave
 
@@ -171,6 +184,9 @@
         """Units of each kind, which must be there."""
         if reserved:
             part.reserved.take(reserved, now)
+        if not pool and part.state == FILLING:  # the usual case: it goes on filling
+            part.level, part.since = part.level + part.rate * (now - part.since) - own, now
+            return
         if not own and not pool:
             return
         paid = part.debt - part.owes(now) if part.state == OWES else 0
@@ -180,7 +196,7 @@
         if part.shared and pool:
             part.debt += pool
             part.borrowed += pool
-        self._enter(part, now)
+        self._enter(part)
 
     # What would be
 
--- a/madderbeam/quota/tree.py
+++ b/madderbeam/quota/tree.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from madderbeam.quota.split import HOUR, SECOND, UNIT, Part, Split
+from madderbeam.quota.split import FILLING, HOUR, SECOND, UNIT, Part, Split
 
 DIMENSIONS = (("messages", SECOND), ("bytes", SECOND), ("messages", HOUR), ("bytes", HOUR))
 LONGEST_US = 4 * 3_600_000_000  # after which all that is lent or owed has come back
@@ -45,6 +45,9 @@
     borrowed: bool = False  # some of it
 
 
+_PASSED, _BORROWED = Passed(), Passed(True)
+
+
 @dataclass(frozen=True)
 class Refused:
     """There is no room now."""
@@ -66,13 +69,21 @@
 class Node:
     """One node: its limits, split among its children, and its parts in its parent's."""
 
-    __slots__ = ("name", "parent", "splits", "parts", "children")
+    __slots__ = ("name", "parent", "splits", "parts", "children", "ways")
 
     def __init__(self, name: str, parent: Node | None) -> None:
         self.name, self.parent = name, parent
         self.splits: list[Split | None] = [None] * 4
         self.parts: list[Part | None] = [None] * 4
         self.children: dict[str, Node] = {}
+        # Through which limits a message goes here: for each dimension that has any, from here to the root.
+        self.ways: list[tuple[bool, list[tuple[Split, Part | None]]]] | None = None
+
+    def limited(self) -> list[tuple[bool, list[tuple[Split, Part | None]]]]:
+        """`ways`, made at the first message; limits and shares of a node do not change."""
+        found = [(bool(at % 2), [(split, part) for _, split, part in levels(self, at)]) for at in range(4)]
+        self.ways = [(by_bytes, rows) for by_bytes, rows in found if rows]
+        return self.ways
 
     @property
     def path(self) -> str:
@@ -91,6 +102,17 @@
     owed: int
 
 
+def levels(node: Node, at: int) -> Iterator[tuple[Node, Split, Part | None]]:
+    """The limits of one dimension from a node to the root: whose it is, and the part of the child below."""
+    part: Part | None = None
+    here: Node | None = node
+    while here is not None:
+        if (split := here.splits[at]) is not None:
+            yield here, split, part
+        part = here.parts[at]
+        here = here.parent
+
+
 class Tree:
     """All nodes, from the root on. Times are a monotonic clock's microseconds."""
 
@@ -145,61 +167,54 @@
     def admit(self, node: Node, size: int, now: int) -> Passed | Refused | Never:
         """A message of so many bytes at this node: taken at each node of its path, or at none."""
         plan: list[tuple[Split, Part | None, int, int, int, int]] = []
-        for at in range(4):
-            need = UNIT if at % 2 == 0 else size * UNIT
+        for by_bytes, ways in node.ways if node.ways is not None else node.limited():
+            need = size * UNIT if by_bytes else UNIT
             lower = -1  # what it takes of the reserved part below, -1 at the leaf
-            part: Part | None = None
-            here: Node | None = node
-            while here is not None:
-                split = here.splits[at]
-                if split is not None:
-                    time = split.settle(now)
-                    found = self._taken(split, part, need, lower, time)
-                    if found is None:
+            for split, part in ways:
+                time = split.since
+                if now > time:
+                    due = split.due
+                    if due and due[0][0] <= now:
+                        split.settle(now)
+                    else:
+                        pool = split.pool + (split.free + split.flowing) * (now - time)
+                        split.pool = pool if pool < split.pool_holds else split.pool_holds
+                        split.since = now
+                    time = now
+                if part is None:
+                    if split.pool < need:
                         return self._refused(node, size, now)
-                    plan.append((split, part, *found, time))
-                    if part is not None:
-                        lower = found[0]
-                part = here.parts[at]
-                here = here.parent
+                    plan.append((split, None, 0, 0, need, time))
+                    continue
+                reserved = 0
+                if lower and part.reserved.holds:
+                    reserved = min(need if lower < 0 else lower, part.reserved.at(time))
+                lower = reserved
+                rest = need - reserved
+                own = part.level + part.rate * (time - part.since) if part.state == FILLING else part.level
+                if own >= rest:
+                    plan.append((split, part, reserved, rest, 0, time))
+                elif rest - own <= split.lends(part, time):
+                    plan.append((split, part, reserved, own, rest - own, time))
+                else:
+                    return self._refused(node, size, now)
         borrowed = False
-        for split, part, reserved, own, pool, time in plan:
+        for split, part, reserved, own, lent, time in plan:
             if part is None:
-                split.pool -= pool
+                split.pool -= lent
             else:
-                split.take(part, reserved, own, pool, time)
-                borrowed |= bool(pool) and part.shared
-        return Passed(borrowed)
-
-    @staticmethod
-    def _taken(split: Split, part: Part | None, need: int, lower: int,
-               now: int) -> tuple[int, int, int] | None:
-        """Of the reserved part, the own bucket and the pool; None if there is not enough."""
-        if part is None:
-            return (0, 0, need) if split.pool >= need else None
-        reserved = min(need if lower < 0 else lower, part.reserved.at(now))
-        own = min(need - reserved, part.own(now))
-        pool = need - reserved - own
-        return (reserved, own, pool) if pool <= split.lends(part, now) else None
+                split.take(part, reserved, own, lent, time)
+                borrowed |= bool(lent) and part.shared
+        return _BORROWED if borrowed else _PASSED
 
     # Refusals
 
-    @staticmethod
-    def _levels(node: Node, at: int) -> Iterator[tuple[Node, Split, Part | None]]:
-        part: Part | None = None
-        here: Node | None = node
-        while here is not None:
-            if (split := here.splits[at]) is not None:
-                yield here, split, part
-            part = here.parts[at]
-            here = here.parent
-
     def _refused(self, node: Node, size: int, now: int) -> Refused | Never:
         """Why, and when it would pass: the latest of all that stand in its way."""
         worst: Refused | None = None
         for at, dimension in enumerate(DIMENSIONS):
             need = UNIT if at % 2 == 0 else size * UNIT
-            for here, split, part in self._levels(node, at):
+            for here, split, part in levels(node, at):
                 what = " a ".join(dimension)
                 if split.most(part) < need:
                     return Never(here.path, what, split.most(part) // UNIT)
