A full table costs no pace; what waits too long for its pace is shed by worth, not by arrival

Two causes: each attempt at a full connection table took a token of the pace (608 of 1,424 calls at one destination), and `_refusal` weighed a new deposit against every room order ahead of it.

Change: a call that a full table turned away gives its token back. In place of refusing the newcomer, what would wait for its pace over half its life is handed back, the worthiest kept (`_shed`), with a time to come back that is spread.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -17,7 +17,10 @@
 
 LINE = re.compile(r"^(?:\d+\.\d+ )?trace (\d+) (\S+) (.*)$")
 OUTCOMES = ("ok", "full", "connect_failed", "timeout", "reset", "error", "moot", "cancelled")
-COLUMNS = ("arrived", "again", "send", "new", *OUTCOMES, "told", "refused unsent", "refused tried", "fail")
+AT_ONCE_S = 0.002  # a refusal so soon after the arrival waited for nothing
+QUICK = 0.6  # refusals on new connections within this part of the quickest good answer: a full table
+COLUMNS = ("arrived", "again", "send", "new", *OUTCOMES, "table", "told", "refused at once", "refused unsent",
+           "refused tried", "fail")
 
 
 def read(path: Path) -> list[tuple[float, int, str, list[str]]]:
@@ -43,6 +46,7 @@
         dest_of: dict[tuple[int, str], int] = {}
         born: dict[tuple[int, str], float] = {}
         tried: set[tuple[int, str]] = set()
+        quickest = 1 << 60
         for at, process, word, rest in rows:
             second = int(at - start)
             if word == "listed":
@@ -63,13 +67,19 @@
                     waits[second, dest].append(at - born.get(name, at))
                 tried.add(name)
             elif word == "refuse":
-                cell["refused tried" if name in tried else "refused unsent"] += 1
+                at_once = at - born.get(name, at) < AT_ONCE_S
+                unsent = "refused at once" if at_once else "refused unsent"
+                cell["refused tried" if name in tried else unsent] += 1
             elif word == "fail":
                 cell["fail"] += 1
             elif word in OUTCOMES:
                 cell[word] += 1
                 cell["told"] += rest[4] != "0"
                 cell["new"] += rest[5] == "True"
+                if word == "ok" and rest[5] == "True":
+                    quickest = min(quickest, int(rest[3]))
+                if word == "full" and rest[5] == "True" and int(rest[3]) < QUICK * quickest:
+                    cell["table"] += 1
     return table, waits, rates
 
 
--- a/madderbeam/policy/messages.py
+++ b/madderbeam/policy/messages.py
@@ -169,10 +169,11 @@
         dest.queue.append(m)
         if m.key:
             self.keys.setdefault(m.key, []).append(m)
-        if self.thin and self.random.random() < self._refusal(dest, m.until - self.now) or self._spent(m):
-            self._finish(m, self.s.max_retry_after_us)
-            return
         heapq.heappush(self.expiries, (m.until - self.margin, m.id))
+        if self._spent(m) or self.thin and self.random.random() < self._refusal(dest):
+            self._finish(m, self.come_back_us())
+        elif self.thin:
+            self._shed(dest)
 
     def _spent(self, m: Message) -> bool:
         """Restored with no attempt left: its final answer is due at once."""
@@ -183,21 +184,29 @@
         """When to come again, for a message that the courier has no room for: spread by chance."""
         return int(self.s.max_retry_after_us * self.random.uniform(0.5, 1))
 
-    def _refusal(self, dest: Destination, life: int) -> float:
+    def _refusal(self, dest: Destination) -> float:
         """Share of a destination's new messages that are refused unsent: as many as of its calls are.
 
         Where refused calls use up the limit too, a destination of many couriers refuses nearly all once the
         calls pass its limit, and what clients hand in again keeps it there. One courier sees too few refusals
         there to pace itself, but a share by chance adds up.
         """
-        if dest.lanes and all(lane.rate for lane in dest.lanes):
-            pace = sum(lane.rate for lane in dest.lanes)
-            ahead = len(dest.queue) - sum(self.health.fill(lane) for lane in dest.lanes)
-            return float(ahead / pace * 1e6 > PATIENCE * life)
         lent = self.health.refused[dest.kind] ** 2  # to lanes without calls, if most of the kind are refused
         shares = [x.refused if x.refused or x.seen_at else lent for x in dest.lanes if not x.rate]
         return min(SHED, sum(shares) / max(1, len(dest.lanes)))
 
+    def _shed(self, dest: Destination) -> None:
+        """Hand back at once what would wait for its pace over a part of its life, the worthiest served first."""
+        pace = sum(lane.rate for lane in dest.lanes)
+        if not pace or not all(lane.rate for lane in dest.lanes):
+            return
+        ahead = 1 - sum(self.health.fill(lane) for lane in dest.lanes)
+        for m in sorted(dest.queue, key=lambda m: (-m.weight, m.seq)):
+            if ahead / pace * 1e6 > PATIENCE * (m.until - self.now):
+                self._finish(m, self.come_back_us())
+            else:
+                ahead += 1
+
     def _share(self, tenant: int) -> float:
         """What a message counts for: traffic over its tenant's share is worth little."""
         if tenant >= len(self.quota):
@@ -239,6 +248,9 @@
                 self.health.hold += (e.latency_us - self.health.hold) / 32
             if not e.spoilt or self.now - ep.last_ok > SPELL_US:  # a spoilt answer is no trouble by itself
                 self.health.judge(ep, e.result, call, e.latency_us, e.retry_after_us)
+            if call.crowded:  # it got nowhere near the limit
+                ep.lane.tokens += 1.0
+                ep.c.tokens = min(1.0, ep.c.tokens + 1.0)
         if call.left == 0 and ep.c.trial is call:
             ep.c.trial = None
         if ep.state is EndpointState.GONE and not ep.out:
