A gone endpoint does not shut its siblings out; one budget for a large fleet's slow start

Fault: health.py, `judge`, the first failure trips the lane. Change: not while a sibling has answered within 3 s and later than this one; the endpoint alone rests, longer each time.

Seen in the simulation (large_fleet_at_a_cold_destination): a cold destination got 89 calls in 2 s where it bears 77. Its slow start counted what comes in and the time at once (messages.py, `_arrived` and `_free`). Change: by time where a rate is listed, by arrivals where none is.

--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -27,6 +27,7 @@
 SPARE = 2.0  # an unlisted capacity is taken for this multiple of the traffic that it was seen to take
 REAP, REGROW = 0.5, 1.25  # idle connections are trusted for this part of the age at which one failed
 FRESH_US = 1_000_000  # an endpoint that answered this lately is not down: a failed connect is a full table
+SIBLING_US = 3_000_000  # a lane that answered this lately is not down for one failed connect
 OUT = 2  # calls that failed with no success between them, over more than a spell: taken for an outage
 SPELL_US = 1_000_000  # trouble that lasted no longer than this, with answers before and after, was no outage
 REUSE_MEMORY = 1 / 16  # weight of the newest call in the share lost on kept connections
@@ -126,6 +127,9 @@
             ep.idle.clear()
             if now - ep.last_ok < FRESH_US and ep.out:  # a full connection table, not a dead endpoint
                 return
+            if self.thin and self.alone_in_trouble(ep):  # an old list: no outage of the destination
+                ep.connect_at, ep.turned = now + SIBLING_US // 2 + self.backoff(ep.turned), ep.turned + 1
+                return
         if result in (Result.ERROR, Result.TIMEOUT, Result.RESET):
             ep.dirty, ep.dirty_at = self.dirt(ep) + MEMORY * (1 - self.dirt(ep)), now
         if result is not Result.FULL:
@@ -160,6 +164,11 @@
             return True
         return not self.thin and self.now - ep.last_ok < SPELL_US and not call.alone
 
+    def alone_in_trouble(self, ep: Endpoint) -> bool:
+        """Another endpoint of the lane has answered lately, and after this one did."""
+        others = [x.last_ok for x in ep.lane.endpoints.values() if x is not ep]
+        return max(others, default=0) > max(ep.last_ok, self.now - SIBLING_US)
+
     def settled(self, lane: Lane, call: Call, latency: int) -> int:
         """A call's latency without what the setting up of its connection took."""
         if call.idle_us >= 0:
--- a/madderbeam/policy/messages.py
+++ b/madderbeam/policy/messages.py
@@ -158,7 +158,9 @@
         # A returning destination gets a share of what comes in anew: summed over a large fleet it follows the
         # total, whoever gets it. None is saved up: all that were told to wait come back in the same moment.
         for lane in dest.lanes:
-            if (c := lane.circuit) and (c.open or c.ramp_from >= 0) and self.now >= lane.wait_until:
+            if not (c := lane.circuit) or self.now < lane.wait_until:
+                continue
+            if c.open or c.ramp_from >= 0 and not lane.listed:  # else the slow start goes by time (_free)
                 c.tokens = min(1.0, c.tokens + self.health.warm(c) / len(dest.lanes))
         m.weight = m.cls.worth * self._share(e.tenant)
         self.messages[m.id] = m
@@ -196,7 +198,7 @@
         return min(SHED, sum(shares) / max(1, len(dest.lanes)))
 
     def _shed(self, dest: Destination) -> None:
-        """Hand back at once what would wait for its pace over a part of its life, the worthiest served first."""
+        """Hand back at once what would wait for its pace over a part of its life; the worthiest stay."""
         pace = sum(lane.rate for lane in dest.lanes)
         if not pace or not all(lane.rate for lane in dest.lanes):
             return
--- a/madderbeam/simulation/script.py
+++ b/madderbeam/simulation/script.py
@@ -51,7 +51,7 @@
     faults: tuple[Fault, ...] = ()
 
     def __post_init__(self) -> None:
-        for name, least, most in (("couriers", 1, 32), ("dests", 1, 64), ("rate_per_s", 0, 2000),
+        for name, least, most in (("couriers", 1, 64), ("dests", 1, 64), ("rate_per_s", 0, 2000),
                                   ("seconds", 0.1, 3600), ("grid_us", 1, 1_000_000), ("disk_mb", 0.01, 1000),
                                   ("latency_us", 1, 10_000_000), ("jitter_us", 0, 10_000_000),
                                   ("descriptors", 24, 1 << 20), ("service_ms", 0.1, 60_000),
--- a/tests/test_full_tables.py
+++ b/tests/test_full_tables.py
@@ -1,7 +1,9 @@
 """Endpoints that hold few connections: a full table is a failed connect, and no word on the limit."""
 
+from dataclasses import replace
+
 from test_fleet import entry, fleet
-from test_messages import Host, S, of
+from test_messages import CLASSES, Host, S, of
 
 from madderbeam.policy.interface import (
     AttemptEnded, CloseIdle, EndpointsListed, EndpointState, Kind, ListEntry, ListForm, Refuse, Result, Send)
@@ -92,3 +94,67 @@
     h.idle(3)
     h.arrive()
     assert not of(Refuse, end(h, 2, Result.FULL, AT_ONCE))
+
+
+def test_a_full_table_takes_no_pace():
+    h = fleet(rate=100.0)  # a part of one call a second
+    served(h)
+    lane = h.courier.endpoints[100].lane
+    h.arrive()
+    end(h, 2, Result.FULL, SET_UP)  # paced from here on
+    h.idle(3)
+    assert lane.rate
+    send, before = of(Send, h.arrive(after=1000))[0], lane.tokens
+    end(h, send.message, Result.FULL, AT_ONCE)
+    assert lane.tokens >= before + 1
+
+
+def test_a_deposit_is_not_handed_back_for_the_room_orders_ahead_of_it():
+    order, deposit = 1, 2
+    classes = tuple(replace(c, worth=w) for c, w in zip(CLASSES, (2.0, 1.0, 4.0), strict=True))
+    h = fleet(rate=20.0, classes=classes)  # a part of 0.2 a second
+    h.arrive(life=60 * S)
+    end(h, 1, Result.FULL, SET_UP)
+    acts = []
+    for _ in range(8):
+        acts += h.arrive(cls=order, life=30 * S)
+    first = h.next + 1
+    acts += h.arrive(cls=deposit, life=30 * S)
+    refused = [a.message for a in of(Refuse, acts)]
+    assert refused and first not in refused
+    assert all(a.retry_after_us > 0 for a in of(Refuse, acts))
+    assert len({a.retry_after_us for a in of(Refuse, acts)}) > 1  # not all at once
+
+
+def test_an_endpoint_that_is_gone_does_not_shut_its_siblings_out():
+    h = fleet(endpoints=2, rate=100.0)
+    lane = h.courier.endpoints[100].lane
+    for _ in range(2):
+        [send] = of(Send, h.arrive(after=1000))
+        end(h, send.message, Result.OK, SET_UP)
+    dead = min(lane.endpoints.values(), key=lambda ep: ep.last_ok)
+    live = max(lane.endpoints.values(), key=lambda ep: ep.last_ok)
+    if dead.last_ok == live.last_ok:
+        dead.last_ok -= 1
+    h.do(after=100_000)
+    sends = []
+    while not sends or sends[-1].endpoint != dead.id:  # chance chooses
+        sends += of(Send, h.arrive(after=10_000))
+        if sends[-1].endpoint == live.id:
+            end(h, sends[-1].message, Result.OK, SET_UP)
+    acts = end(h, sends[-1].message, Result.CONNECT_FAILED, 100)
+    assert not lane.circuit.open
+    for _ in range(5):
+        [send] = of(Send, acts + h.arrive(after=50_000))[:1]
+        assert send.endpoint == live.id
+        acts = end(h, send.message, Result.OK, SET_UP)
+
+
+def test_an_outage_of_all_endpoints_still_trips_at_the_second_failure():
+    h = fleet(endpoints=2, rate=100.0)
+    served(h)
+    lane = h.courier.endpoints[100].lane
+    for _ in range(4):
+        for a in of(Send, h.arrive(after=10_000)):
+            end(h, a.message, Result.CONNECT_FAILED, 100)
+    assert lane.circuit.open
