A token of the pace goes back only for a full table told by its quickness

Fault: messages.py, `_ended` gave the token back also where the older rule of small fleets (a refusal beside answers on kept connections) takes a refusal for a full table. That guess is right often enough to try again, not to raise the pace.

Change: only a refusal sooner than a set-up can be over gives its token back, and only where the host told that the connection was new.

--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -160,9 +160,9 @@
         failed connection, and says nothing of the limit."""
         if result is not Result.FULL or told or call.idle_us >= 0:
             return False
-        if latency < AT_ONCE * min(ep.quickest, self.quickest) < math.inf:  # before it was set up
-            return True
-        return not self.thin and self.now - ep.last_ok < SPELL_US and not call.alone
+        # Before it was set up. A host that can't tell new ones reports a full table as a failed connect.
+        call.at_once = call.opened and latency < AT_ONCE * min(ep.quickest, self.quickest) < math.inf
+        return call.at_once or not self.thin and self.now - ep.last_ok < SPELL_US and not call.alone
 
     def alone_in_trouble(self, ep: Endpoint) -> bool:
         """Another endpoint of the lane has answered lately, and after this one did."""
--- a/madderbeam/policy/messages.py
+++ b/madderbeam/policy/messages.py
@@ -225,7 +225,7 @@
         if found is None:
             return
         call, m = found
-        ep, call.left = call.endpoint, call.left - 1
+        ep, call.left, call.opened = call.endpoint, call.left - 1, e.fresh is True
         if e.fresh is not None and e.fresh != (call.idle_us < 0):
             call.idle_us = -1 if e.fresh else 0
             if e.fresh:  # none was kept, against what was thought
@@ -250,7 +250,7 @@
                 self.health.hold += (e.latency_us - self.health.hold) / 32
             if not e.spoilt or self.now - ep.last_ok > SPELL_US:  # a spoilt answer is no trouble by itself
                 self.health.judge(ep, e.result, call, e.latency_us, e.retry_after_us)
-            if call.crowded:  # it got nowhere near the limit
+            if call.at_once:  # it got nowhere near the limit
                 ep.lane.tokens += 1.0
                 ep.c.tokens = min(1.0, ep.c.tokens + 1.0)
         if call.left == 0 and ep.c.trial is call:
--- a/madderbeam/policy/state.py
+++ b/madderbeam/policy/state.py
@@ -86,3 +86,4 @@
         self.idle_us = -1  # how long its connection had been idle, -1 for a new one
         self.alone = not endpoint.out  # no other call was out there when it was sent
         self.fresh = self.crowded = False  # asked for a new connection; turned away by a full table
+        self.opened = self.at_once = False  # it opened one, as the host told; turned away before that was up
