--- a/madderbeam/simulation/endpoints.py
+++ b/madderbeam/simulation/endpoints.py
@@ -30,13 +30,17 @@
     stamp_us: int = 0
     cold_from: int = -1  # when its outage ended, while it is not warm
     saw: set[tuple[str, int]] = field(default_factory=set)  # lives that saw a call fail in the outage
+    lowered: float = 1.0  # share of the rate that it takes now; below 1, refused calls use it up as well
 
     def take(self, now: int) -> bool:
         """Whether a call is within the rate now."""
-        burst = max(2.0, self.rate)
-        self.tokens = min(burst, self.tokens + self.rate * (now - self.stamp_us) / 1e6)
+        rate = self.rate * self.lowered
+        burst = max(2.0, rate)
+        self.tokens = min(burst, self.tokens + rate * (now - self.stamp_us) / 1e6)
         self.stamp_us = now
         if self.tokens < 1:
+            if self.lowered < 1:
+                self.tokens = max(-burst, self.tokens - 1)
             return False
         self.tokens -= 1
         return True
--- a/madderbeam/simulation/faults.py
+++ b/madderbeam/simulation/faults.py
@@ -261,6 +261,12 @@
     return lambda: [end() for end in ends]
 
 
+@kind(weight=0)
+def lowered(world: World, f: Fault) -> End:
+    """A destination takes only a share of its rate; refused calls use that up as well."""
+    return _set(_dest(world, f), "lowered", max(0.05, f.value))
+
+
 @kind(weight=1.5)
 def drain(world: World, f: Fault) -> End:
     """An endpoint drains and goes; sometimes another comes in its place, at its address too."""
--- a/tests/simulation/test_large_fleet.py
+++ b/tests/simulation/test_large_fleet.py
@@ -5,33 +5,9 @@
 
 import pytest
 
+from madderbeam.simulation.fleet import CASES, FLEET
 from madderbeam.simulation.runs import play
-from madderbeam.simulation.script import Fault, Script
-
-COURIERS, DESTS, SECONDS = 40, 20, 5.0
-FLEET = Script(seed=1, couriers=COURIERS, dests=DESTS, rate_per_s=200.0, seconds=SECONDS, disk_mb=0.3,
-               tight=1.3, service_ms=60.0)
-HALF = range(DESTS // 2)
-
-
-def each(kind, targets, at_ms, for_ms, value=0.5):
-    return tuple(Fault(kind, at_ms, for_ms, target, value) for target in targets)
-
-
-CASES = {
-    "all killed in the same instant": each("kill", range(COURIERS), 2000, 0),
-    "back together, with discovery silent for 6 s":
-        each("kill", range(COURIERS), 1500, 0) + each("silent_list", range(COURIERS), 1400, 6000),
-    "all told the same wait, once and again at its end": each("full", range(DESTS), 1000, 2000, 0.9),
-    "half of the destinations down, and back cold": each("down", HALF, 1000, 2500),
-    "half of the destinations hang, and come back cold": each("hung", HALF, 1000, 2500),
-    "half of the destinations shut": each("shut", HALF, 1000, 2500),
-    "few connections at each endpoint": each("tables", range(DESTS), 0, 9000, 0.9),
-    "endpoints drained and replaced while most are killed":
-        each("kill", range(COURIERS * 3 // 4), 2000, 0) + (Fault("mass_drain", 1500, 3000, 0, 0.5),),
-    "last endpoints replaced amid an outage":
-        each("down", HALF, 1000, 2000) + tuple(Fault("drain", 1200, 1500, n, 0.5) for n in range(2 * DESTS)),
-}
+from madderbeam.simulation.script import Script
 
 
 @pytest.mark.parametrize("name", CASES)
@@ -56,3 +32,16 @@
     report = play(Script.parse(text))
     assert report.violation is None, report.line
     assert report.delivered > 100
+
+
+def test_a_courier_that_meets_a_destination_once_in_ten_seconds_is_served():
+    report = play(replace(FLEET, rate_per_s=80.0), audited=False)  # 0.1 messages a second for each pair
+    assert report.violation is None, report.line
+    assert report.delivered > 0.8 * report.messages
+
+
+def test_a_limit_that_refused_calls_use_up_still_serves_while_it_is_halved():
+    calm = play(FLEET, audited=False)
+    halved = play(replace(FLEET, faults=CASES["limits halved and restored"]), audited=False)
+    assert halved.delivered > 0.6 * calm.delivered
+    assert halved.calls < 1.5 * calm.calls
