Test: a watch that is turned away does not ask again at once

The backoff had tests, its use by the watch had none: the second request of a watch that was answered 503 came within 0.1 s before, and comes after 0.5 s at the earliest now.

--- a/tests/test_busy_discovery.py
+++ b/tests/test_busy_discovery.py
@@ -1,10 +1,13 @@
 """A discovery that is overbooked recovers, since those that it turns away ask less and less."""
 
+import asyncio
 import random
 
 import pytest
+from loopback import Server, answer, bounded, read_request
 
-from madderbeam.transport.discovery import Backoff
+from madderbeam.ports.real import real_ports
+from madderbeam.transport.discovery import Backoff, Watch
 
 PATIENCE_S, QUEUE, COURIERS = 2.0, 6, 28
 
@@ -52,3 +55,28 @@
     assert backoff.next() >= 4  # nor does a lost connection make them shorter
     backoff.reset()
     assert backoff.next() <= 0.1
+
+
+class Busy(Server):
+    """Turns every watch away; keeps when each came."""
+
+    def __init__(self):
+        super().__init__()
+        self.asked = asyncio.Queue()
+
+    async def serve(self, reader, writer):
+        await read_request(reader)
+        self.asked.put_nowait(asyncio.get_running_loop().time())
+        writer.write(answer(503, Connection="close"))
+
+
+def test_a_watch_that_is_turned_away_does_not_ask_again_at_once():
+    async def test():
+        loop, busy = asyncio.get_running_loop(), await Busy().start()
+        watch = Watch(loop, real_ports(loop).network, ("127.0.0.1", busy.port), random.Random(1), 7, print)
+        watch.open()
+        first, second = await bounded(busy.asked.get()), await bounded(busy.asked.get())
+        watch.stop()
+        await busy.stop()
+        return second - first
+    assert asyncio.run(test()) >= 0.49  # a quarter of the first ceiling; a lost connection's is 0.1 s
