--- a/madderbeam/host/process.py
+++ b/madderbeam/host/process.py
@@ -97,7 +97,8 @@
         with collector_rests():
             host = start(loop, ports, env, config, control, takeover.passed)
         takeover.done()
-        upgrade.Incumbent(host, takeover.lock)
+        if config.control:
+            upgrade.Incumbent(host, takeover.lock)
         await host.closed
         again = host.alone
         if not again:
--- a/madderbeam/host/upgrade.py
+++ b/madderbeam/host/upgrade.py
@@ -142,10 +142,14 @@
 
 
 async def take(config: Config, disk: Disk) -> Takeover:
-    """Get charge of the folder: it is free, or the process that has it hands over, or it ends."""
+    """Get charge of the folder: it is free, or the process that has it hands over, or it ends.
+
+    Without a second address nobody could tell that a second process is ready: none is asked to hand over,
+    and no Unix socket is made.
+    """
     wait = AGAIN_S
     while True:
-        conn = passing.ask(config.state)
+        conn = passing.ask(config.state) if config.control else None
         if conn is not None:
             try:
                 return await _asked(conn, config, disk)
