--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -13,7 +13,7 @@
 
 from madderbeam.policy.interface import Result
 from madderbeam.ports import Address, Network, Socket
-from madderbeam.transport.http import LOCAL_ERRORS, Connection, Exchange
+from madderbeam.transport.http import LOCAL_ERRORS, Connection, Exchange, nothing
 
 IDLE_SHARE = 0.75  # idle connections are closed at this share of the time at which the endpoint would
 IDLE_EACH = 8  # idle connections kept to one endpoint
@@ -313,7 +313,7 @@
             connection = pool.idle.pop()
             pool.timers.pop(connection).cancel()
             self.idle -= 1
-            connection.on_close = lambda: None
+            connection.on_close = nothing
             if not connection.stale():
                 self.reused += 1
                 self._wait(call, fresh=False)
--- a/madderbeam/transport/http.py
+++ b/madderbeam/transport/http.py
@@ -65,6 +65,10 @@
         self.more = self.copied = False  # something follows; and it is an answer too
         self.head_bytes = 0
 
+    def let_go(self) -> None:
+        """Nothing more is read of it: it and its parser hold each other."""
+        del self.parser
+
     @property
     def framed(self) -> bool:
         return "content-length" in self.headers or "transfer-encoding" in self.headers
@@ -122,16 +126,21 @@
         return self.interim <= MAX_INTERIM and self.head_bytes <= MAX_HEAD
 
 
+def nothing() -> None:
+    """Nobody wants to hear of it."""
+
+
 class Connection:
-    """Carries one exchange at a time."""
+    """Carries one exchange at a time. One that is closed refers to nothing that refers to it: a courier that
+    runs for days must not wait for the collector, and the request that it carried is let go with it."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, network: Network, address: Address,
                  sock: Socket | None = None) -> None:
         """`sock`: one that is connected, or about to be, in place of a new one."""
         self.loop, self.network, self.address = loop, network, address
         self.answer: Answer | None = None
-        self.on_close: Callable[[], None] = lambda: None
-        self.closed = self.connected = False
+        self.on_close: Callable[[], None] = nothing
+        self.closed = self.connected = self.reading = False
         self._out, self._sent = b"", 0
         self.sock = sock or network.stream(address)  # OSError: see LOCAL_ERRORS
 
@@ -218,6 +227,7 @@
             self._lose()
             return
         if self.written:
+            self._out, self._sent = b"", 0  # it may have tens of kilobytes, and the connection is kept
             self.network.off_writable(self.sock)
             if self.answer is not None:
                 self.answer.exchange.written_whole()
@@ -234,7 +244,17 @@
         answer = self.answer
         if answer is None:  # an end, or bytes that nobody asked for
             self.close()
-        elif not data:
+            return
+        self.reading = True
+        try:
+            self._read(answer, data)
+        finally:
+            self.reading = False
+            if self.answer is not answer:
+                answer.let_go()
+
+    def _read(self, answer: Answer, data: bytes) -> None:
+        if not data:
             # With no length and no chunks, the connection's end is the answer's.
             if answer.headed and not answer.framed:
                 self._ended(answer)
@@ -244,8 +264,6 @@
             self._spoil()
         elif answer.whole and not self.closed:
             self._ended(answer)
-        if answer is not None and self.answer is not answer:
-            del answer.parser  # they hold each other: without this each answer waits for the collector
 
     def _ended(self, answer: Answer) -> None:
         self.answer = None
@@ -269,8 +287,11 @@
         """End the connection; its exchange hears no more."""
         if self.closed:
             return
-        self.closed, self.answer = True, None
+        self.closed, answer, self.answer = True, self.answer, None
+        if answer is not None and not self.reading:
+            answer.let_go()
         self.network.off_readable(self.sock)
         self.network.off_writable(self.sock)
         self.sock.close()
-        self.on_close()
+        on_close, self.on_close = self.on_close, nothing
+        on_close()
