--- a/madderbeam/simulation/agent.py
+++ b/madderbeam/simulation/agent.py
@@ -198,6 +198,7 @@
     def _begin(self, since: int) -> None:
         agent = self.agent
         self.watching = True
+        self.kernel.report.lists += 1
         self.stream.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         if since and since <= agent.rev and agent.chance.random() < 0.7:
             gone = {"state": "terminated"}
--- a/madderbeam/simulation/books.py
+++ b/madderbeam/simulation/books.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Iterable, Iterator
 from typing import Any
 
@@ -29,6 +29,7 @@
 ASLEEP_US = 100_000  # a timer of the decision module is late by so much at the most, coarse grids included
 TOLD_US = 2_000_000  # a list that has stood for so long is known
 NEAR = 1e-6
+OWN, WORLD = "madderbeam.", "madderbeam.simulation."
 Wrong = Iterator[str]
 
 
@@ -65,6 +66,31 @@
         yield f"{what}: {str(counted)[:120]} is kept, {str(found)[:120]} is there"
 
 
+# What is kept over a long service
+
+
+def kept(host: Host) -> dict[str, int]:
+    """How many elements each container of a courier has, summed by the shortest path that leads there.
+    Whatever is kept for each request, id, connection, key or endpoint stands in one of them."""
+    sizes: Counter[str] = Counter()
+    seen: set[int] = set()
+    left: deque[tuple[str, Any]] = deque([("host", host)])
+    while left:
+        path, value = left.popleft()
+        if id(value) in seen:
+            continue
+        seen.add(id(value))
+        if isinstance(value, (dict, list, set, deque, tuple)):
+            sizes[path] += 0 if isinstance(value, tuple) else len(value)
+            inner = value.values() if isinstance(value, dict) else value
+            left.extend((f"{path}[]", v) for v in inner)
+        elif type(value).__module__.startswith(OWN) and not type(value).__module__.startswith(WORLD):
+            fields = {name: getattr(value, name, None) for name in getattr(type(value), "__slots__", ())}
+            fields |= getattr(value, "__dict__", {})
+            left.extend((f"{path}.{name}", v) for name, v in fields.items())
+    return sizes
+
+
 # The decision module
 
 
--- a/madderbeam/simulation/clients.py
+++ b/madderbeam/simulation/clients.py
@@ -52,6 +52,8 @@
         self.drains: set[str] = set()  # couriers that are to drain, until they are back at work
         self.left_alone: set[str] = set()  # couriers that drain: the front sends nobody there
         self.holders: dict[str, Wish] = {}  # by id: who waits for its end
+        uneven = kernel.script.uneven
+        self.weights = {m.name: uneven if n % 10 == 0 else (10 - uneven) / 9 for n, m in enumerate(machines)}
         self.count = 0
 
     def hand_in(self, wish: Wish, again: bool = False, marked: bool = False) -> None:
@@ -64,9 +66,15 @@
         if not alive:
             kernel.after(200_000, self.hand_in, wish, again, marked)
             return
-        machine = alive[int(self.chance.random() * len(alive))]
+        machine = self._one(alive)
         self.send(machine, *self._request(wish, machine, again, marked))
 
+    def _one(self, alive: list[Machine]) -> Machine:
+        """The courier that the front deals the next one to."""
+        if self.kernel.script.uneven == 1:
+            return alive[int(self.chance.random() * len(alive))]
+        return self.chance.choices(alive, [self.weights[m.name] for m in alive])[0]
+
     def together(self, wishes: list[Wish], half: bool) -> None:
         """A program hands several in at once, on a connection of its own; half: it ends its sending then."""
         alive = [m for m in self.machines if self.dead.get(m.name, -1) <= self.kernel.now_us
@@ -75,7 +83,7 @@
             for wish in wishes:
                 self.hand_in(wish)
             return
-        machine = alive[int(self.chance.random() * len(alive))]
+        machine = self._one(alive)
         Program(self, machine, [self._request(wish, machine, False, False) for wish in wishes], half)
 
     def _request(self, wish: Wish, machine: Machine, again: bool, marked: bool) -> tuple[Handed, bytes]:
--- a/madderbeam/simulation/endpoints.py
+++ b/madderbeam/simulation/endpoints.py
@@ -87,7 +87,9 @@
 
     def accept(self, stream: Stream) -> str | Peer:
         line = Line(self, stream)
+        self.kernel.report.dials += 1
         if self.state == "terminated" or self.mood.outage == "refuse":
+            self.kernel.report.failed_dials += 1
             line.saw()
             return "refused"
         if self.mood.outage in ("never", "cut"):
@@ -158,6 +160,7 @@
         if ep.mood.outage == "cut":
             self.stream.cut()
         self.crowded = len(ep.streams) >= ep.mood.table
+        self.kernel.report.failed_dials += self.crowded
         ep.streams[self.stream] = self
 
     def refused(self) -> None:
@@ -212,6 +215,7 @@
         self.kernel.note(self.life.courier, "call", uid=ep.uid, path=request.path,
                         ids=[i for i, _ in idents], first=request.first_us)
         checker.call(call, idents, ep.dest.number, ep.uid)
+        self.kernel.report.probes += not idents
         self.newest = call
         if self.hasty >= 0:
             self._hasty(call)
@@ -386,8 +390,10 @@
 class Nowhere:
     """An address at which nothing listens any more."""
 
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+
     def accept(self, stream: Stream) -> str | Peer:
+        self.kernel.report.dials += 1
+        self.kernel.report.failed_dials += 1
         return "refused"
-
-
-
--- a/madderbeam/simulation/fleet.py
+++ b/madderbeam/simulation/fleet.py
@@ -1,8 +1,9 @@
-"""A large fleet: forty couriers, none of which knows of another, and its hard cases by name."""
+"""Large fleets, of forty couriers and of two hundred, none of which knows of another: the hard cases."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import replace
 
 from madderbeam.simulation.script import Fault, Script
 
@@ -32,3 +33,26 @@
     "last endpoints replaced amid an outage":
         each("down", HALF, 1000, 2000) + tuple(Fault("drain", 1200, 1500, n, 0.5) for n in range(2 * DESTS)),
 }
+
+# Two hundred couriers at about twenty endpoints: each sees two messages a second, a tenth of them several
+# times that, and an endpoint's table has fewer places than there are couriers.
+MANY, FEW_DESTS = 200, 10
+FULL = replace(FLEET, couriers=MANY, dests=FEW_DESTS, rate_per_s=400.0, seconds=4.0, uneven=3.0,
+               service_ms=100.0)
+ALL, EVERY = range(FEW_DESTS), range(MANY)
+OLD_LIST = (*each("silent_list", EVERY, 900, 4000), Fault("mass_drain", 1000, 3000, 0, 0.1),
+            *(Fault("kill", 1500 + 5 * n, 0, n) for n in EVERY))
+A_TENTH = (Fault("mass_drain", 1000, 3000, 1, 0.2),
+           *(Fault("moved", 1200 + 7 * n, 0, n) for n in EVERY),
+           *(Fault("kill" if n % 2 else "term", 1000 + 300 * (n // 20), 0, n) for n in EVERY))
+FULL_CASES = {
+    "no fault": FULL,
+    "all start in one second with an old list": replace(FULL, faults=OLD_LIST),
+    "a tenth at a time is killed while endpoints are replaced and discovery moves":
+        replace(FULL, faults=A_TENTH),
+    "all find one destination back cold": replace(FULL, faults=each("down", (0, 1), 500, 3200)),
+    "endpoints that hold four connections": replace(FULL, faults=each("tables", ALL, 0, 20_000, 0.75)),
+    "a courier that gets five times the mean": replace(FULL, uneven=5.0),
+    "timers and answers in one instant": replace(FULL, grid_us=5000, aligned=True),
+    "limits halved and restored": replace(FULL, faults=each("lowered", ALL, 1000, 2000)),
+}
--- a/madderbeam/simulation/kernel.py
+++ b/madderbeam/simulation/kernel.py
@@ -35,6 +35,10 @@
     delivered: int = 0
     refused: int = 0
     kills: int = 0
+    dials: int = 0  # connections to endpoints that were asked for
+    failed_dials: int = 0  # of them those that were refused, or found a full table
+    lists: int = 0  # watches that discovery was asked for
+    probes: int = 0
     kinds: tuple[str, ...] = ()
     quality: Any = None  # quality.Quality of a run that broke no rule
     trace: list[str] = field(default_factory=list)
--- a/madderbeam/simulation/network.py
+++ b/madderbeam/simulation/network.py
@@ -204,6 +204,11 @@
             self.marks.popleft()[1]()
         return data
 
+    def recv_into(self, buffer: bytearray) -> int:
+        data = self.recv(len(buffer))
+        buffer[:len(data)] = data
+        return len(data)
+
     def send(self, data: Any) -> int:
         self._operation("send")
         if self.error:
--- a/madderbeam/simulation/world.py
+++ b/madderbeam/simulation/world.py
@@ -14,7 +14,7 @@
 from madderbeam.simulation.checker import MS, Handed
 from madderbeam.simulation.clients import Clients, Wish
 from madderbeam.simulation.couriers import Machine
-from madderbeam.simulation.endpoints import Destination, Endpoint
+from madderbeam.simulation.endpoints import Destination, Endpoint, Nowhere
 from madderbeam.simulation.kernel import Broken, Kernel, Report
 from madderbeam.simulation.loop import ProcessLoop, Spinning
 from madderbeam.simulation.quality import measured
@@ -99,7 +99,7 @@
         self.publish(ep)
         ep.dest.endpoints.remove(ep)
         if self.services.get(ep.address) is ep:
-            del self.services[ep.address]
+            self.services[ep.address] = Nowhere(self)
         if replaced or not ep.dest.endpoints:
             new = self._endpoint(ep.dest, ep.address if same else None)
             new.mood.outage = ep.mood.outage
--- a/madderbeam/transport/clients.py
+++ b/madderbeam/transport/clients.py
@@ -15,9 +15,9 @@
 
 from madderbeam.ports import Network, Socket
 from madderbeam.transport.descriptors import NO_FILES
+from madderbeam.transport.reading import read
 from madderbeam.transport.resp import FramingError, RequestReader
 
-READ_BYTES = 1 << 16
 BACKLOG = 512  # connections that wait to be taken up
 ACCEPTS = 16  # connections taken up in one turn: the usual clients wait for the turn's end
 PIPELINE = 32  # requests of one connection that may wait or be read at once; clients send one at a time
@@ -170,7 +170,7 @@
 
     def _readable(self) -> None:
         try:
-            data = self.sock.recv(READ_BYTES)
+            data = read(self.sock)
         except (BlockingIOError, InterruptedError):
             return
         except OSError:
--- a/madderbeam/transport/control.py
+++ b/madderbeam/transport/control.py
@@ -16,13 +16,13 @@
 
 from madderbeam.ports import Address, Network, Socket
 from madderbeam.transport.descriptors import NO_FILES
+from madderbeam.transport.reading import NOTHING, read
 
 BACKLOG = 128
 ACCEPTS = 16  # callers taken up in one turn
 CALLERS = 32  # at once; one more ends the oldest
 REST_S = 0.05  # accepting rests for so long when no descriptor can be freed
 WHOLE_S = 2.0  # a call must be whole within this
-READ_BYTES = 1 << 12
 MAX_CALL = 1 << 13  # bytes of one call
 log = logging.getLogger(__name__)
 
@@ -78,11 +78,11 @@
 
     def _readable(self) -> None:
         try:
-            data = self.sock.recv(READ_BYTES)
+            data = read(self.sock)
         except (BlockingIOError, InterruptedError):
             return
         except OSError:
-            data = b""
+            data = NOTHING
         if not data:
             self.close()
             return
--- a/madderbeam/transport/http.py
+++ b/madderbeam/transport/http.py
@@ -17,10 +17,10 @@
 
 from madderbeam.ports import Address, Network, Socket
 from madderbeam.transport.descriptors import NO_FILES
+from madderbeam.transport.reading import NOTHING, read
 
 Headers = Sequence[tuple[str, str]]
 LOCAL_ERRORS = NO_FILES | {errno.EADDRNOTAVAIL}
-READ_BYTES = 1 << 16
 MAX_HEAD = 1 << 15  # bytes of an answer before its head is whole
 MAX_INTERIM = 16  # 1xx answers ahead of one
 
@@ -111,7 +111,7 @@
             return
         self.whole, self.again = True, self.parser.should_keep_alive()
 
-    def feed(self, data: bytes) -> bool:
+    def feed(self, data: memoryview) -> bool:
         """Whether it can still be read."""
         try:
             self.parser.feed_data(data)
@@ -236,11 +236,11 @@
 
     def _readable(self) -> None:
         try:
-            data = self.sock.recv(READ_BYTES)
+            data = read(self.sock)
         except (BlockingIOError, InterruptedError):
             return
         except OSError:
-            data = b""
+            data = NOTHING
         answer = self.answer
         if answer is None:  # an end, or bytes that nobody asked for
             self.close()
@@ -253,7 +253,7 @@
             if self.answer is not answer:
                 answer.let_go()
 
-    def _read(self, answer: Answer, data: bytes) -> None:
+    def _read(self, answer: Answer, data: memoryview) -> None:
         if not data:
             # With no length and no chunks, the connection's end is the answer's.
             if answer.headed and not answer.framed:
--- a/madderbeam/transport/resp.py
+++ b/madderbeam/transport/resp.py
@@ -43,7 +43,7 @@
         """A request has begun and is not whole."""
         return self.missing > 0 or self.at < len(self.buffer)
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         if self.at == len(self.buffer):
             self.buffer = bytearray(data)
         else:
--- /dev/null
+++ b/tests/simulation/test_long_service.py
@@ -0,0 +1,87 @@
+"""A courier that works for long does not grow by its age: what is kept of each thing has an end.
+
+45 minutes of virtual time with ever new ids, keys, clients and endpoints, through all kinds of trouble. What
+is counted is each container of the courier, not the size of its process; test_garbage.py sees to it that
+nothing outlasts these containers.
+"""
+
+from functools import cache
+
+import pytest
+
+from madderbeam.host.attempts import Attempts
+from madderbeam.host.ends import Ends
+from madderbeam.host.listing import EVER, Listing
+from madderbeam.journal.memory import Memory
+from madderbeam.policy.messages import Courier
+from madderbeam.simulation import books
+from madderbeam.simulation.runs import staged
+from madderbeam.simulation.script import Fault, Script
+from madderbeam.transport.calls import Calls
+from madderbeam.transport.clients import ClientServer
+
+MINUTES = 45
+TROUBLES = ("down", "hung", "tables", "full", "resets", "errors", "spoilt", "mute", "half", "slow_handshakes",
+            "bad_clients", "crowd", "programs", "torn_connections", "closing", "lowered", "repeated_lists",
+            "whole_lists", "flood", "moved", "moves", "shut", "gaps", "notices_torn")
+BOUNDED = {"host.listing.ever": EVER}  # grows up to that many
+SLACK = 6  # elements; and a fifth
+
+
+def service(minutes, rate=4.0):
+    """An endpoint is replaced each 12 s, and there is one trouble after the other."""
+    faults = []
+    for n, at in enumerate(range(5_000, minutes * 60_000 - 30_000, 12_000)):
+        faults.append(Fault("drain", at, 2500, n, 0.5))
+        faults.append(Fault(TROUBLES[n % len(TROUBLES)], at + 3000, 5000, n, 0.1 + 0.08 * (n * 7 % 10)))
+    return Script(seed=5, couriers=2, dests=6, rate_per_s=rate, seconds=minutes * 60.0, faults=tuple(faults))
+
+
+def grown(script):
+    """The containers that had more elements in the last quarter than in the second, with both figures."""
+    world, looks, quarter = staged(script, audited=False), [{} for _ in range(4)], script.seconds / 4 * 1e6
+
+    def look():
+        part = looks[min(3, int(world.now_us / quarter))]
+        for machine in world.machines:
+            for path, size in books.kept(machine.host).items():
+                part[path] = max(part.get(path, 0), size)
+        world.after(10_000_000, look)
+    world.after(10_000_000, look)
+    report = world.play()
+    assert report.violation is None, report.line
+    found = {}
+    for path, last in looks[3].items():
+        second = looks[1].get(path, 0)
+        if last > 1.2 * second + SLACK and last > BOUNDED.get(path, 0):
+            found[path] = (second, last)
+    return found, report
+
+
+@cache
+def plain():
+    return grown(service(MINUTES))
+
+
+def test_nothing_grows_over_45_minutes():
+    found, report = plain()
+    assert found == {}
+    assert report.messages > MINUTES * 60 * 4 and report.delivered > 0.8 * report.messages
+
+
+LEAKS = {
+    "numbers of attempts": lambda p: p.setattr(Attempts, "forget", lambda self, number: None),
+    "guards": lambda p: p.setattr(Ends, "unguard", lambda self, number: None),
+    "remembered ids and keys": lambda p: p.setattr(Memory, "expire", lambda self, now, most=0: None),
+    "endpoints that have gone": lambda p: p.setattr(Listing, "forget", lambda self, endpoint: None),
+    "pools of endpoints that have gone": lambda p: p.setattr(Calls, "forget", lambda self, endpoint: None),
+    "endpoints of the decision module": lambda p: p.setattr(Courier, "_forget", lambda self, ep: None),
+    "clients that have left": lambda p: p.setattr(ClientServer, "left", lambda self, client: None),
+}
+
+
+@pytest.mark.parametrize("name", LEAKS)
+def test_a_leak_is_seen(name, monkeypatch):
+    LEAKS[name](monkeypatch)
+    found, _ = grown(service(6))
+    assert found
