--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -190,7 +190,9 @@
         spell = now - ep.last_ok < SPELL_US
         if now - ep.most_at > TABLE_US:
             ep.most, ep.most_at = ep.most + 1, now
-        ep.last_ok, ep.turned = now, 0
+        ep.last_ok = now
+        if call.idle_us < 0:
+            ep.turned = max(0, ep.turned - 1)
         ep.bad, ep.c.bad = ep.bad * (1 - MEMORY), ep.c.bad * (1 - MEMORY)
         ep.dirty, ep.dirty_at = self.dirt(ep) * (1 - MEMORY), now
         if latency:
--- a/tests/test_full_tables.py
+++ b/tests/test_full_tables.py
@@ -72,6 +72,41 @@
     assert of(CloseIdle, end(h, 2, Result.OK, 60_000, fresh=False))
 
 
+def test_what_waits_does_not_follow_one_that_a_full_table_turned_away():
+    # Its connection was taken for one that came free: each message that waited went to the full table in turn.
+    waits = []
+    for seed in range(20):
+        h = fleet(rate=100.0, window=1)
+        h.courier.random.seed(seed)
+        served(h)
+        h.arrive()
+        assert not of(Send, h.arrive())
+        acts = end(h, 2, Result.FULL, AT_ONCE)
+        start = h.now
+        assert of(CloseIdle, acts)
+        while not of(Send, acts):
+            acts = h.do(after=5_000)
+        waits.append(h.now - start)
+    assert min(waits) > 0 and max(waits) > 50_000 and len(set(waits)) > 5
+
+
+def test_one_place_in_a_table_does_not_make_all_wait_shortly_again():
+    # Each success in a crowded table began the doubling anew, so that two in three calls met a full one.
+    h = fleet(rate=100.0, window=1)
+    served(h)
+    ep = h.courier.endpoints[100]
+    ep.turned = 4
+    h.arrive()
+    h.arrive()
+    end(h, 2, Result.OK, SET_UP)
+    assert ep.turned == 3
+    end(h, 3, Result.OK, 60_000, fresh=False)  # on the same connection: it says nothing of the table
+    assert ep.turned == 3
+    h.arrive()
+    end(h, 4, Result.FULL, AT_ONCE)
+    assert ep.turned == 4
+
+
 def test_connections_are_kept_where_tables_have_room_and_not_where_one_was_full():
     h = fleet(kinds=(Kind("roomy"), Kind("tight")))
     h.do(EndpointsListed(ListForm.DELTA, (
