--- a/tests/test_full_tables.py
+++ b/tests/test_full_tables.py
@@ -73,7 +73,7 @@
 
 
 def test_what_waits_does_not_follow_one_that_a_full_table_turned_away():
-    # Its connection was taken for one that came free: each message that waited went to the full table in turn.
+    # Its connection was taken for one that came free: each that waited went to the full table in turn.
     waits = []
     for seed in range(20):
         h = fleet(rate=100.0, window=1)
