An answer in the very instant of its time-out is heard, and its wait heeded

Cause: Calls._late closes the connection without a look at what has come by then; where a timer and an answer fall in one instant, as on a clock that moves by processor time, the timer may go first.

Change: the connection is read once more before the courier stops waiting; one read for each time-out.

--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -296,6 +296,8 @@
                 call.finish(item, Outcome(Result.CANCELLED if item.begun else Result.MOOT))
 
     def _late(self, call: Call, item: Item) -> None:
+        if call.connection is not None and not item.ended:
+            call.connection.look()  # an answer may come in the very instant; a wait that it tells binds
         if item.ended:
             return
         if sum(not i.ended for i in call.items) == 1:
--- a/madderbeam/transport/http.py
+++ b/madderbeam/transport/http.py
@@ -234,6 +234,11 @@
         else:
             self.network.on_writable(self.sock, self._write)
 
+    def look(self) -> None:
+        """Read what has come by now, if anything has."""
+        if self.connected and not self.closed and not self.reading:
+            self._readable()
+
     def _readable(self) -> None:
         try:
             data = read(self.sock)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -1,6 +1,7 @@
 """Every row of the outcome table, and the connections, over loopback sockets."""
 
 import asyncio
+import select
 import socket
 import threading
 
@@ -240,3 +241,34 @@
         thread.join()
         listener.close()
     asyncio.run(run())
+
+
+def test_an_answer_that_comes_in_the_very_instant_of_the_time_out_is_heard():
+    # Seed 975 of the simulation: the wait that it told was passed by, and a call went out amid it.
+    def answers(server, go):
+        connection, _ = server.accept()
+        with connection:
+            connection.recv(1 << 16)
+            go.wait(5)
+            connection.sendall(b"HTTP/1.1 429 Full\r\nRetry-After: 0.4\r\nContent-Length: 0\r\n\r\n")
+            connection.recv(1)
+
+    async def run():
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            go = threading.Event()
+            thread = threading.Thread(target=answers, args=(server, go))
+            thread.start()
+            o = Outcomes()
+            sending = asyncio.ensure_future(o.send(server.getsockname()[1], "a"))
+            async with asyncio.timeout(5):
+                while not o.begun:
+                    await asyncio.sleep(0.001)
+            call = next(iter(o.calls.out))
+            go.set()
+            select.select([call.connection.sock.fileno()], [], [], 5)  # the loop does not turn meanwhile
+            o.calls._late(call, call.items[0])
+            assert await bounded(sending) == [("a", c.Outcome(Result.FULL, wait_us=400_000))]
+            assert o.waits == [400_000]
+            o.calls.close()
+            thread.join(5)
+    asyncio.run(run())
