--- a/madderbeam/journal/segments.py
+++ b/madderbeam/journal/segments.py
@@ -162,9 +162,10 @@
         if self.used + more > self.limit:
             return
         assert self.file is not None
-        self.torn = True
+        self.torn, written = True, 0
         try:
-            if self.file.append(data) == len(data):
+            written = self.file.append(data)
+            if written == len(data):
                 segment.size += len(data)
                 segment.fixed += len(data)
                 self.used += more
@@ -172,6 +173,12 @@
             self._cut()
         except OSError as error:
             log.warning("journal: %s does not tell of the next one: %s", segment.file, error)
+            # A part of it may stand there for good. Later headers must tell the size that the file has: what
+            # stands behind it would be taken for another's, and all that is held for messages that may have run.
+            before = blocks(segment.size)
+            segment.size += written
+            segment.fixed += written
+            self.used += blocks(segment.size) - before
 
     def drop(self, number_: int) -> None:
         """Remove a segment's file; OSError if that can't be, and it stays. A record says so first: a file
--- a/tests/journal/test_damage.py
+++ b/tests/journal/test_damage.py
@@ -118,3 +118,27 @@
         except AssertionError:
             missed += 1
     assert missed
+
+
+def test_a_part_of_the_last_word_that_the_disk_keeps_is_no_damage():
+    # Seed 5729: the word on the next segment fell short, and the disk would not cut it off. Later headers told
+    # the size without it: the segment was "longer than it was", and all that was held counted as having run.
+    from test_store import Machine, held
+
+    machine = Machine()
+    journal = machine.start()
+    files = journal.files
+    journal.take(held(1, machine), lambda: None, lambda error: None)
+    journal.commit()
+
+    def fails(size):
+        raise OSError(5, "Input/output error")
+
+    whole = files.file.append
+    files.file.append, files.file.truncate = lambda data: whole(data[:7]), fails
+    files._roll()
+    journal.take(held(2, machine), lambda: None, lambda error: None)
+    journal.commit()
+    assert not read(machine.disk, "/state").damage
+    again = machine.start()
+    assert not again.damage and sorted(again.held) == [1, 2]
