--- a/madderbeam/importers/nginx/servers.py
+++ b/madderbeam/importers/nginx/servers.py
@@ -42,6 +42,7 @@
 
     def __init__(self, found: Found, upstreams: Upstreams, ledger: Ledger, wrong: list[Wrong]) -> None:
         self.found, self.upstreams, self.ledger, self.wrong = found, upstreams, ledger, wrong
+        self.named: set[str] = set()  # by server_name
 
     # What blocks inherit
 
@@ -82,7 +83,7 @@
     def _next(self, at: Directive) -> None:
         self.ledger.imported(at)
         how = {
-            "off": "a failed call is tried again as its class allows: `attempts` is 1 only if all say so",
+            "off": "a failed call is tried again as its class allows",
             "non_idempotent": "not carried over: what may have run is repeated only as its class allows",
             "http_403": "never counts as a failure",
             "http_404": "never counts as a failure",
@@ -96,8 +97,6 @@
                 self.ledger.changed(at, f"{word}: {how[word]}")
             elif word not in (*ALWAYS, "http_500"):
                 self._refuse(at, f"proxy_next_upstream: no such case: {word!r}")
-        if "off" in at.args:
-            self.found.attempts.append(1)
 
     def _tries(self, at: Directive) -> None:
         self.ledger.imported(at)
@@ -154,7 +153,14 @@
                     block, "has no name of its own and is not the default: no message gets there"
                 )
             before = len(self.found.routes)
-            self._locations(block, self.scope(block, scope), hosts, None)
+            inner = self.scope(block, scope)
+            if block.children("return"):
+                self.ledger.changed(block, "answers with `return`: its paths lead nowhere")
+                self.found.routes.append(Route("", "/", "", hosts, block))
+                for at in block.children("location"):
+                    self.ledger.leave_all(at, "the server answers with `return` ahead of any location")
+            else:
+                self._locations(block, inner, hosts, None)
             if not hosts and len(blocks) > 1:
                 del self.found.routes[before:]
 
@@ -171,11 +177,22 @@
                 except HostError as error:
                     self.ledger.left(at, str(error))
                     continue
-                found.append(name)
+                if not self._twice(at, name):
+                    found.append(name)
         return found
 
     # Locations
 
+    def _twice(self, at: Directive, name: str) -> bool:
+        """Whether an earlier server has the name already."""
+        if name.lower() not in self.named:
+            self.named.add(name.lower())
+            return False
+        self.ledger.changed(
+            at, f"{name!r} is an earlier server's already, perhaps at another port: that counts"
+        )
+        return True
+
     def _locations(
         self, block: Directive, scope: Scope, hosts: tuple[str, ...], outer: tuple[str, str] | None
     ) -> None:
--- a/madderbeam/journal/segments.py
+++ b/madderbeam/journal/segments.py
@@ -174,7 +174,7 @@
         except OSError as error:
             log.warning("journal: %s does not tell of the next one: %s", segment.file, error)
             # A part of it may stand there for good. Later headers must tell the size that the file has: what
-            # stands behind it would be taken for another's, and all that is held for messages that may have run.
+            # stands behind it would be taken for another's, and all that is held for what may have run.
             before = blocks(segment.size)
             segment.size += written
             segment.fixed += written
--- a/tests/journal/test_damage.py
+++ b/tests/journal/test_damage.py
@@ -121,8 +121,8 @@
 
 
 def test_a_part_of_the_last_word_that_the_disk_keeps_is_no_damage():
-    # Seed 5729: the word on the next segment fell short, and the disk would not cut it off. Later headers told
-    # the size without it: the segment was "longer than it was", and all that was held counted as having run.
+    # Seed 5729: the word on the next segment fell short, and the disk would not cut it off. Later headers
+    # told the size without it: the segment was "longer", and all that was held counted as having run.
     from test_store import Machine, held
 
     machine = Machine()
