--- a/madderbeam/importers/nginx/known.py
+++ b/madderbeam/importers/nginx/known.py
@@ -174,7 +174,7 @@
         "root alias index autoindex autoindex_exact_size "
         "autoindex_format autoindex_localtime random_index sendfile sendfile_max_chunk directio "
         "directio_alignment aio aio_write output_buffers read_ahead etag if_modified_since disable_symlinks "
-        "max_ranges empty_gif default_type types types_hash_max_size types_hash_bucket_size log_not_found "
+        "max_ranges empty_gif default_type types types_hash_max_size types_hash_bucket_size "
         "dav_methods create_full_put_path min_delete_depth dav_access",
     ),
     _left(
--- a/madderbeam/importers/nginx/tree.py
+++ b/madderbeam/importers/nginx/tree.py
@@ -109,6 +109,8 @@
     for config in payload["config"]:
         for found in config["errors"]:
             text = str(found["error"]).replace("\n", " ")
+            if "recursion" in text:
+                text = f"blocks stand in more than {MOST_DEPTH} others"
             tree.wrong.append(Wrong(config["file"], found["line"] or 1, re.sub(r"^\[Errno \d+\] ", "", text)))
         if config["file"] != shown and (bad := _not_text(Path(config["file"]))):
             tree.wrong.append(bad)
--- a/madderbeam/importers/nginx/values.py
+++ b/madderbeam/importers/nginx/values.py
@@ -46,8 +46,8 @@
 def address(text: str, port: int = 80) -> tuple[str, int]:
     """HOST, HOST:PORT, [V6] or [V6]:PORT as (host, port); IPv6 without brackets."""
     if text.startswith("["):
-        host, _, rest = text[1:].partition("]")
-        if not re.fullmatch(r"[0-9A-Fa-f:.]+", host):
+        host, closed, rest = text[1:].partition("]")
+        if not closed or not re.fullmatch(r"[0-9A-Fa-f:.]+", host):
             raise ValueError(f"{text!r} is no address")
     else:
         host, colon, rest = text.partition(":")
--- a/madderbeam/routing/hashing.py
+++ b/madderbeam/routing/hashing.py
@@ -11,13 +11,14 @@
 import struct
 from array import array
 from bisect import bisect_left, bisect_right
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from itertools import accumulate
 from zlib import crc32
 
 TRIES = 20
 POINTS = 160
-SLOT = 32  # bits below a point that hold its server's place
+SLOT = 32  # bits below a point that hold its server's number
+NUMBER = (1 << SLOT) - 1
 
 
 def spread(*parts: int) -> float:
@@ -54,21 +55,26 @@
 
 
 class Ring:
-    """Consistent hash: servers' points on a circle of 32 bits. Building takes 160 points for each unit of
-    weight; a look-up the logarithm of their number."""
-
-    def __init__(self, servers: Sequence[tuple[str, int]]) -> None:
-        """`servers`: name and weight, in the order of their places."""
-        points = [point << SLOT | place for place, (name, weight) in enumerate(servers)
-                  for point in _points(name, weight)]
-        points.sort()
-        self.points = array("Q", points)
+    """Consistent hash: servers' points on a circle of 32 bits. A server that comes or goes costs its own 160
+    points for each unit of weight and one pass over the others; a look-up the logarithm of their number."""
+
+    def __init__(self, servers: Iterable[tuple[int, str, int]], old: Ring | None = None) -> None:
+        """`servers`: number, name and weight. `old`: a ring of which most are taken over."""
+        self.servers = {(number, name, weight) for number, name, weight in servers}
+        had = old.servers if old else set()
+        gone = {number for number, _, _ in had - self.servers}
+        kept = old.points if old else array("Q")
+        points = [point for point in kept if point & NUMBER not in gone] if gone else list(kept)
+        points += [point << SLOT | number for number, name, weight in self.servers - had
+                   for point in _points(name, weight)]
+        points.sort()  # two runs of which the first is sorted
+        self.points: array[int] = array("Q", points)
 
     def order(self, key: str) -> Iterator[int]:
-        """The places from the key's point on, once around; the same one may come again."""
+        """The servers' numbers from the key's point on, once around; the same one may come again."""
         start = bisect_left(self.points, crc32(key.encode()) << SLOT)
         for at in range(len(self.points)):
-            yield self.points[(start + at) % len(self.points)] & (1 << SLOT) - 1
+            yield self.points[(start + at) % len(self.points)] & NUMBER
 
 
 def _points(name: str, weight: int) -> Iterator[int]:
--- a/madderbeam/routing/pool.py
+++ b/madderbeam/routing/pool.py
@@ -90,22 +90,23 @@
 class Tier:
     """Servers that are tried before those of the next tier, in the order of one method."""
 
-    def __init__(
-        self, method: Method, members: Sequence[Server], seed: int, levels: dict[int, int] | None = None
-    ) -> None:
-        """`levels`: what the tier before had of them."""
+    def __init__(self, method: Method, members: Sequence[Server], seed: int, old: Tier | None = None) -> None:
+        """`old`: the tier whose place it takes; who was there keeps its place in the turns."""
+        levels = old.kept() if old else {}
         self.method, self.seed = method, seed
         self.servers = {s.id: s for s in members}
         self.rank = {s.id: n for n, s in enumerate(members)}
         self.ids = [s.id for s in members]
         self.scale = STEPS if any(s.slow_start_us for s in members) else 1
         self.wheels: SortedDict = SortedDict()  # by calls out for each weight; one wheel but for least_conn
-        self.levels = {n: level for n, level in (levels or {}).items() if n in self.servers}  # who are out
+        self.levels = {n: level for n, level in levels.items() if n in self.servers}  # of those that are out
         self.at: dict[int, float] = {}  # whose wheel each is in
         self.usable_weight = 0
         self.weight = sum(s.weight for s in members)
         self.table = Weighted([s.weight for s in members])
-        self.ring = Ring([(s.name, s.weight) for s in members]) if method is Method.CONSISTENT else None
+        self.ring: Ring | None = None
+        if method is Method.CONSISTENT:
+            self.ring = Ring(((s.id, s.name, s.weight) for s in members), old.ring if old else None)
 
     def enter(self, ident: int, conns: int, share: int = STEPS) -> None:
         """A server can be used, with so many calls out; `share` of its weight in STEPS-ths."""
@@ -148,10 +149,9 @@
             for rank in wheel.order():
                 yield self.ids[rank]
 
-    def _once(self, places: Iterator[int]) -> Iterator[int]:
+    def _once(self, drawn: Iterator[int]) -> Iterator[int]:
         seen = set()
-        for place in places:
-            ident = self.ids[place]
+        for ident in drawn:
             if ident in self.at and ident not in seen:
                 seen.add(ident)
                 yield ident
@@ -160,28 +160,27 @@
                 yield ident
 
     def _drawn(self, message: int, affinity: str, conns: dict[int, int]) -> Iterator[int]:
-        """Places, also of servers that can't be used and more than once."""
+        """Servers, also such as can't be used, and more than once."""
         if not self.at:
             return
         if self.method is Method.HASH:
-            yield from plain(self.table, affinity)
+            yield from (self.ids[place] for place in plain(self.table, affinity))
             return
         if self.ring is not None:
             yield from self.ring.order(affinity)
             return
         draws = (
-            self.table.place(int(spread(self.seed, message, n) * self.table.total)) for n in range(DRAWS)
+            self.ids[self.table.place(int(spread(self.seed, message, n) * self.table.total))]
+            for n in range(DRAWS)
         )
         if self.method is Method.RANDOM_TWO:
             pair: list[int] = []
-            for place in draws:
-                if place not in pair and self.ids[place] in self.at:
-                    pair.append(place)
+            for ident in draws:
+                if ident not in pair and ident in self.at:
+                    pair.append(ident)
                 if len(pair) == 2:
                     break
-            yield from sorted(
-                pair, key=lambda p: conns.get(self.ids[p], 0) / self.servers[self.ids[p]].weight
-            )
+            yield from sorted(pair, key=lambda n: conns.get(n, 0) / self.servers[n].weight)
         yield from draws
 
     def choose(self, ident: int, passed: Iterable[int]) -> None:
@@ -233,9 +232,9 @@
         up = [s for s in servers if not s.down]
         primary, zone = [s for s in up if not s.backup], self.policy.zone
         local = [s for s in primary if zone and s.zone == zone]
-        others = [s for s in primary if s not in local]
+        others = [s for s in primary if not zone or s.zone != zone]
         self.near, self.far, self.backup = (
-            Tier(self.policy.method, members, self.seed, old.kept())
+            Tier(self.policy.method, members, self.seed, old)
             for members, old in zip((local, others, [s for s in up if s.backup]), self._tiers(), strict=True)
         )
         self.events, self.due = [], {}
--- a/tests/importers/nginx/plain.py
+++ b/tests/importers/nginx/plain.py
@@ -156,7 +156,7 @@
         if how == "=" and text == path:
             return where_to
     for how, text, where_to, _, _ in rows:
-        # [co] "defined by a prefix string that ends with the slash character, and requests are processed by one
+        # [co] "defined by a prefix string that ends with the slash character, and requests are processed by
         # of proxy_pass, ...": the same without the slash is answered with a redirect
         if how in ("", "^~") and where_to and len(text) > 1 and text == path + "/":
             return None
--- a/tests/simulation/planted.py
+++ b/tests/simulation/planted.py
@@ -14,6 +14,7 @@
 from madderbeam.journal.segments import Files
 from madderbeam.journal.store import Journal
 from madderbeam.policy import health, interface, messages
+from madderbeam.routing import marks, pool
 from madderbeam.transport import calls, clients, control, discovery, local
 
 
@@ -668,3 +669,38 @@
         if e.spoilt:
             self.rests = before
     patch.setattr(messages.Courier, "_ended", unrested)
+
+
+@bug(9, "wait", "drain", "cold", "design", "repeat", "order", "slots", "attempts")
+def sends_where_the_pool_prefers_without_the_gate(patch):
+    def preferred(self, m, routing, quick):
+        for _, tier in routing.tiers(m.dest.number, m.id, m.affinity, m.tried, self.now):
+            for ident in tier:
+                if (ep := self.endpoints.get(ident)) and not m.out:
+                    return ep
+        return None
+    patch.setattr(messages.Courier, "_preferred", preferred)
+
+
+@bug(9, "books")
+def counts_the_calls_of_a_pool_up_only(patch):
+    ended = pool.Pool.ended
+
+    def forgets(self, ident, result, spoilt, now):
+        out = self.conns.get(ident, 0)
+        ended(self, ident, result, spoilt, now)
+        if ident in self.servers:
+            self.conns[ident] = out
+    patch.setattr(pool.Pool, "ended", forgets)
+
+
+@bug(9, "books")
+def waits_for_ever_for_a_probe(patch):
+    ended = marks.Mark.ended
+
+    def keeps(self, failed, succeeded, now):
+        out = self.probe_out
+        found = ended(self, failed, succeeded, now)
+        self.probe_out = out
+        return found
+    patch.setattr(marks.Mark, "ended", keeps)
