--- a/madderbeam/client.py
+++ b/madderbeam/client.py
@@ -62,18 +62,23 @@
         self.redis = redis.Redis(connection_pool=pool)
         self.feed = Path(feed) if feed else None
 
-    def put(self, cls: str, dest: int, body: bytes, within_ms: int, *, tenant: str = "", key: str = "",
-            order: str = NO_ORDER, ident: str = "", resubmitted: bool = False) -> str:
+    def put(self, cls: str, dest: int | None, body: bytes, within_ms: int, *, tenant: str = "", key: str = "",
+            order: str = NO_ORDER, ident: str = "", resubmitted: bool = False, to: str = "",
+            path: str = "") -> str:
         """Hand a message in; its id.
 
         `within_ms`: for how long it may still be delivered. `key`: needed in a keyed class, the same each
         time that this message is handed in. `order`: messages of an ordered class that share it go one at a
-        time.
+        time. `to` (a partner's name, or a host) and `path` name the destination where `dest` is None, by the
+        courier's routes; neither may hold a comma.
         Refused, with a time to come back; Unknown if no answer came (do not hand an unsafe message in again);
         ValueError if the courier can't use it.
         """
         ident = ident or secrets.token_hex(8)
-        fields = [f"c={cls}", f"d={within_ms}", f"dest={dest}"]
+        if "," in to + path:
+            raise ValueError("to, path: must hold no comma; in a path write %2C")
+        fields = [f"c={cls}", f"d={within_ms}", *([f"dest={dest}"] if dest is not None else [])]
+        fields += [f"to={to}"] * bool(to) + [f"path={path}"] * bool(path)
         fields += [f"t={tenant}"] * bool(tenant) + [f"k={key}"] * bool(key) + ["r=1"] * resubmitted
         try:
             self.redis.execute_command("MSG.PUT", order, ident, ",".join(fields), body)
--- a/tests/routing/test_pooled_courier.py
+++ b/tests/routing/test_pooled_courier.py
@@ -339,3 +339,27 @@
     )
     assert made.host.courier.routing is None and "route.pools" not in made.host._figures()
     assert await made.one(client, "m1") == ["a"]
+
+
+@pooled
+async def test_the_small_client_names_a_path(made):
+    from madderbeam.client import Courier
+
+    for name in "ab":
+        await made.endpoint(name)
+    await made.start(made.partner(1, "venue", [("a", "")]) + made.partner(2, "choir", [("b", "")]) + ROUTES)
+    port = made.host.clients.sock.getsockname()[1]
+
+    def hand_in():
+        courier = Courier(f"redis://127.0.0.1:{port}")
+        courier.put("safe", None, b"x", 3000, tenant="t", path="/rooms/%2C")
+        courier.put("safe", None, b"x", 3000, tenant="t", to="choir")
+        with pytest.raises(ValueError, match="no comma"):
+            courier.put("safe", None, b"x", 3000, tenant="t", path="/rooms/,")
+        with pytest.raises(ValueError, match="no route"):
+            courier.put("safe", None, b"x", 3000, tenant="t", path="/none")
+        courier.close()
+
+    await asyncio.to_thread(hand_in)
+    await bounded(made.settled())
+    assert sorted(made.met()) == ["a", "b"]
