Kafka front: produce messages and read finals with Kafka clients

Need: scheduling programs would like to hand messages in with the Kafka clients that they have. Fronts share one way to answer (transport/answers.py); a server is made with its connections' class. Off unless an application has [kafka].

--- a/madderbeam/config/check.py
+++ b/madderbeam/config/check.py
@@ -371,6 +371,8 @@
         if app.control is not None:
             _port(app, (*at, "control"), app.control, "HOST:PORT with a port from 1 to 65535", ports, source,
                   report)
+        if app.kafka is not None:
+            _kafka(app.kafka, (*at, "kafka"), app, ports, source, report)
         here = (*at, "listen")
         if app.listen.startswith("unix:"):
             path = os.path.realpath(folder / app.listen[5:])
@@ -384,6 +386,19 @@
               report)
 
 
+def _kafka(kafka: m.Kafka, at: Key, app: m.Application, ports: Ports, source: Source, report: Report) -> None:
+    _port(app, (*at, "listen"), kafka.listen, "HOST:PORT with a port from 1 to 65535", ports, source, report)
+    if kafka.advertised is not None and split_address(kafka.advertised) is None:
+        report.add(source, (*at, "advertised"), f"can't be {kafka.advertised!r}", "HOST:PORT")
+    if kafka.finals in (*app.classes, "any"):
+        report.add(source, (*at, "finals"), f"{kafka.finals!r} is a topic of messages", "a name of its own")
+    if app.finals is not None and app.finals.startswith("http://"):
+        report.add(source, at, "finals go to http://, so there is none to read", "finals in a file")
+    if "any" in app.classes:
+        report.add(source, at, "a class is named 'any', as the topic whose class stands in a header",
+                   "another name")
+
+
 def _port(app: m.Application, here: Key, text: str, allowed: str,
           ports: Ports, source: Source, report: Report) -> None:
     """An address at which a courier is to listen: in its form, and nobody else's."""
--- a/madderbeam/config/model.py
+++ b/madderbeam/config/model.py
@@ -141,6 +141,20 @@
     )
 
 
+class Kafka(Table):
+    """The Kafka front of one application (the extra `kafka`)."""
+
+    listen: str = Field(description="where Kafka clients connect: HOST:PORT")
+    advertised: str | None = Field(
+        default=None, description="HOST:PORT that clients are told to connect to; default: that of listen"
+    )
+    partitions: int = Field(default=1, ge=1, le=1000, description="partitions of each topic")
+    finals: Name = Field(default="finals", description="the topic that ends are read from")
+    users: dict[Name, str] = Field(
+        default={}, description="passwords by name, for SASL PLAIN; a name that is a tenant's stands for it"
+    )
+
+
 class Application(Settings):
     """One scheduling program and the courier beside it."""
 
@@ -150,6 +164,7 @@
         default=None,
         description="where those who run it call: HOST:PORT, on loopback unless others may; default: nowhere",
     )
+    kafka: Kafka | None = Field(default=None, description="takes messages from Kafka clients as well")
     state: str = Field(description="the courier's own folder, which outlasts it; relative to the estate file")
     classes: list[str] = Field(min_length=1, description="the classes that it may hand in")
     tenants: list[str] = Field(default=[], description="the tenants that it may name; none: all")
--- a/madderbeam/config/platform.py
+++ b/madderbeam/config/platform.py
@@ -33,6 +33,17 @@
     sync: bool = False  # each group of the journal's records
 
 
+@dataclass(frozen=True)
+class Kafka:
+    """The Kafka front: where it listens, what it tells clients of that, who may log in (none: anybody)."""
+
+    listen: Address
+    advertised: Address  # port 0: the one that it listens at
+    users: dict[str, str]
+    partitions: int = 1
+    finals: str = "finals"
+
+
 @dataclass(frozen=True)
 class Config:
     """Everything that a courier is told."""
@@ -51,6 +62,7 @@
     control: Address | None = None  # where those who run it call
     listen_fd: int = -1  # an open descriptor that listens at `listen` already
     zone: str = ""  # where it stands, for pools that prefer their own
+    kafka: Kafka | None = None
 
 
 def parse_address(text: Any, field: str) -> Address:
@@ -109,11 +121,23 @@
         state=side["state"], seed=secrets.randbits(64), sockets=int(limits["sockets"]),
         disk_bytes=int(limits["disk_mb"] * 1_000_000) - GUARD_BYTES, known=_known(known), settings=settings,
         zones=tuple(raw["settings"]["localities"]), zone=str(raw.get("zone", "")),
+        kafka=_kafka(raw.get("kafka"), path),
         sidecar=Sidecar(listed, "" if web else side["finals"], int(side["feed_mb"] * 1e6),
                         int(limits["clients"]), limits["client_idle_ms"] / 1e3,
                         limits.get("journal_sync", False)))
 
 
+def _kafka(raw: Any, shown: str) -> Kafka | None:
+    if raw is None:
+        return None
+    try:
+        listen = parse_address(raw["listen"], f"{shown}: kafka.listen")
+        told = parse_address(raw["advertised"], f"{shown}: kafka.advertised") if raw["advertised"] else listen
+        return Kafka(listen, told, dict(raw["users"]), int(raw["partitions"]), str(raw["finals"]))
+    except (KeyError, TypeError, ValueError) as error:
+        raise ConfigError(f"{shown}: kafka: can't be used: {error!r}") from None
+
+
 def partner_list(data: bytes, shown: str) -> dict[str, Any]:
     """A rendered partner list in discovery's form; rendered.Unfit if it can't be used."""
     value = rendered.parse(data, shown)
--- a/madderbeam/config/render.py
+++ b/madderbeam/config/render.py
@@ -193,6 +193,7 @@
             "listen": listen,
             **({"control": app.control} if app.control else {}),
             **({"zone": app.zone} if app.zone else {}),
+            **({"kafka": app.kafka.model_dump()} if app.kafka else {}),
             "settings": _settings(loaded, app),
             "limits": {
                 "sockets": app.sockets,
--- a/madderbeam/host/admission.py
+++ b/madderbeam/host/admission.py
@@ -14,16 +14,13 @@
 from madderbeam.journal.message import Held
 from madderbeam.journal.store import Journal
 from madderbeam.policy import interface as i
-from madderbeam.transport.clients import BadRequest, Put, Reply
+from madderbeam.transport.answers import Answer
+from madderbeam.transport.clients import BadRequest, Put
 
 LONGEST = 10  # a message that wants to live longer than so many deadlines of its class is none of ours
 log = logging.getLogger(__name__)
 
 
-def refusal(wait_us: int) -> bytes:
-    return b"-BUSY %d\r\n" % -(-wait_us // 1000) if wait_us > 0 else b"-BUSY\r\n"
-
-
 class Admission:
     """Ids, keys, classes and tenants of what comes in; each request is answered in the turn that follows.
 
@@ -41,10 +38,10 @@
         self.numbers = journal.last
         self.classes = {c.name: n for n, c in enumerate(settings.classes)}
         self.tenants = {t.name: n for n, t in enumerate(settings.tenants)}
-        self.arrived: dict[int, tuple[Held, list[Reply]]] = {}  # not answered yet
+        self.arrived: dict[int, tuple[Held, list[Answer]]] = {}  # not answered yet
         self.arriving: dict[str, int] = {}  # their ids
 
-    def put(self, put: Put, reply: Reply) -> None:
+    def put(self, put: Put, reply: Answer) -> None:
         """A message is handed in; BadRequest if it can't be one of ours."""
         if put.dest == NOWHERE:
             put = replace(put, dest=self.routing.destination(put))
@@ -53,11 +50,11 @@
             self.arrived[self.arriving[put.id]][1].append(reply)
             return
         if put.id in self.journal.ids or put.id in self.journal.over:
-            reply.send(b"+OK\r\n")  # handed in again on a new connection: it is, or was, taken care of
+            reply.taken()  # handed in again on a new connection: it is, or was, taken care of
             return
         if self.journal.open + len(self.arrived) >= self.s.max_held:
             self.figures.ended(DECLINED, cls)
-            reply.send(refusal(self.come_back_us()))
+            reply.busy(self.come_back_us())
             return
         self.numbers += 1
         until = self.journal.wall() + put.life_ms / 1e3
@@ -107,24 +104,27 @@
 
     # The turn's answers
 
-    def turn(self) -> dict[int, tuple[Held, list[Reply]]]:
+    def turn(self) -> dict[int, tuple[Held, list[Answer]]]:
         """What has come in since the turn before, to be answered in this one."""
         arrived, self.arrived = self.arrived, {}
         self.arriving.clear()
         return arrived
 
-    def answer(self, arrived: dict[int, tuple[Held, list[Reply]]], actions: Iterable[i.Action]) -> None:
+    def answer(self, arrived: dict[int, tuple[Held, list[Answer]]], actions: Iterable[i.Action]) -> None:
         """Refuse what the decision module turned down, and take the rest on."""
         for a in actions:
             if isinstance(a, (i.Refuse, i.Fail)) and a.message in arrived:
                 m, replies = arrived.pop(a.message)
                 self.figures.ended(DECLINED if isinstance(a, i.Refuse) else ABORTED, m.cls)
                 for reply in replies:
-                    reply.send(refusal(a.retry_after_us) if isinstance(a, i.Refuse) else b"-ERR failed\r\n")
+                    if isinstance(a, i.Refuse):
+                        reply.busy(a.retry_after_us)
+                    else:
+                        reply.failed()
         for m, replies in arrived.values():
             self._take(m, replies)
 
-    def _take(self, m: Held, replies: list[Reply]) -> None:
+    def _take(self, m: Held, replies: list[Answer]) -> None:
         if not any(r.wanted for r in replies):
             self.tell(i.MessageGone(m.number))  # nobody heard that it was taken on
             return
@@ -132,7 +132,7 @@
         def taken() -> None:
             self.ends.guard(m)
             for reply in replies:
-                reply.send(b"+OK\r\n")
+                reply.taken()
 
         def refused(error: OSError) -> None:
             log.error("not taken on: %s", error)
@@ -140,7 +140,7 @@
             self.attempts.forget(m.number)
             self.tell(i.MessageGone(m.number))
             for reply in replies:
-                reply.send(refusal(self.come_back_us()))
+                reply.busy(self.come_back_us())
         try:
             self.journal.take(m, taken, refused)
         except OSError as error:
--- a/madderbeam/host/turn.py
+++ b/madderbeam/host/turn.py
@@ -24,7 +24,8 @@
 from madderbeam.policy.messages import Courier
 from madderbeam.ports import Address, Ports
 from madderbeam.transport.calls import Calls, Hooks, Item
-from madderbeam.transport.clients import ClientServer, Reply
+from madderbeam.transport.answers import Answer
+from madderbeam.transport.clients import ClientServer
 from madderbeam.transport.control import ControlServer
 from madderbeam.transport.descriptors import Sparing
 from madderbeam.transport.discovery import Watch
@@ -77,6 +78,14 @@
                                    self.calls.cancel, self.tell, self.courier.come_back_us,
                                    self.figures, self.routing)
         self.clients = ClientServer(loop, ports.network, self.admission.put, around.places)
+        self.fronts = [self.clients]
+        if config.kafka is not None:  # loaded only where it is on
+            from madderbeam.host.kafka import KafkaRoom
+            from madderbeam.transport.local import Feed
+            feed = self.notices if isinstance(self.notices, Feed) else None
+            self.kafka = KafkaRoom(loop, ports.network, ports.disk, ports.clock, config, config.kafka,
+                                   self.admission.put, feed)
+            self.fronts.append(self.kafka.server)
         self.drain = Drain(self.clients)
         self.service = Service(self.listing, self.bans, self.drain, self._ready, self._figures, self._relist)
         self.control = control or ControlServer(loop, ports.network)
@@ -100,6 +109,8 @@
         self.begin({})
         self.turn()
         self.watch.open()
+        if self.config.kafka is not None:
+            log.info("Kafka clients may come at port %d", self.kafka.listen())
         return self.clients.listen(*self.config.listen)
 
     def begin(self, waits: dict[tuple[int, str], int]) -> None:
@@ -164,11 +175,11 @@
             log.exception("actions failed")
             for _, replies in arrived.values():
                 for reply in replies:
-                    reply.send(b"-ERR internal error\r\n")
+                    reply.failed("internal error")
         finally:
             self.journal.commit()
 
-    def _carry_out(self, actions: list[i.Action], arrived: dict[int, tuple[Held, list[Reply]]]) -> None:
+    def _carry_out(self, actions: list[i.Action], arrived: dict[int, tuple[Held, list[Answer]]]) -> None:
         self.admission.answer(arrived, actions)
         bundles: dict[int, list[Item]] = {}
         for a in actions:
@@ -265,9 +276,10 @@
         self.loop.call_later(EXIT_S, self._exit)
 
     def _stop_clients(self) -> None:
-        self.clients.stop_listening()
-        self.clients.close_idle()
-        if self.clients.clients:
+        for front in self.fronts:
+            front.stop_listening()
+            front.close_idle()
+        if any(front.clients for front in self.fronts):
             self.loop.call_later(0.02, self._stop_clients)
         self._maybe_exit()
 
@@ -280,7 +292,7 @@
     def _maybe_exit(self) -> None:
         # What still waits for its turn may be sent until the last call must have begun.
         done = not self.calls.out and not self.journal.held and not self.events and not self.admission.arrived
-        if self.closing_at and done and not self.clients.clients and not self.clients.listening:
+        if self.closing_at and done and not any(f.clients or f.listening for f in self.fronts):
             self._exit()
 
     def _exit(self) -> None:
@@ -296,7 +308,8 @@
         self.watch.stop()
         self.notices.stop()
         self.calls.close()
-        self.clients.close()
+        for front in self.fronts:
+            front.close()
         self.journal.close()
 
 
--- a/madderbeam/transport/clients.py
+++ b/madderbeam/transport/clients.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from madderbeam.ports import Network, Socket
+from madderbeam.transport.answers import Answer
 from madderbeam.transport.descriptors import NO_FILES
 from madderbeam.transport.reading import read
 from madderbeam.transport.resp import FramingError, RequestReader
@@ -151,13 +152,24 @@
             self.text = text
             self.client.flush()
 
+    def taken(self) -> None:
+        self.send(b"+OK\r\n")
+
+    def busy(self, wait_us: int) -> None:
+        self.send(b"-BUSY %d\r\n" % -(-wait_us // 1000) if wait_us > 0 else b"-BUSY\r\n")
+
+    def failed(self, why: str = "failed") -> None:
+        self.send(b"-ERR %s\r\n" % _line(why))
+
 
 class Client:
-    """One client's connection, on a non-blocking socket."""
+    """One client's connection, on a non-blocking socket. Other protocols' connections are made from it."""
+
+    reads: Callable[[], Any] = RequestReader  # what takes requests off the bytes
 
     def __init__(self, server: ClientServer, sock: Socket) -> None:
         self.server, self.sock, self.loop, self.network = server, sock, server.loop, server.network
-        self.reader = RequestReader()
+        self.reader = self.reads()
         self.pending: deque[Reply] = deque()
         self.unsent = b""
         self.closing = self.closed = False  # closing: nothing more is read, what is owed is still sent
@@ -359,8 +371,9 @@
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, network: Network,
-                 put: Callable[[Put, Reply], None], places: Places) -> None:
-        self.loop, self.network, self.put, self.places = loop, network, put, places
+                 put: Callable[[Put, Answer], None], places: Places, make: type[Client] = Client) -> None:
+        """`make`: the connections of the front's protocol."""
+        self.loop, self.network, self.put, self.places, self.make = loop, network, put, places, make
         self.idle_most = int(places.most * places.idle_share)
         self.clients: dict[Client, None] = {}  # the oldest first
         self.idle: dict[Client, None] = {}  # those of use with no request open, the longest idle first
@@ -426,13 +439,13 @@
             sock.setblocking(False)
             with contextlib.suppress(OSError):
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.clients[client := Client(self, sock)] = None
+            self.clients[client := self.make(self, sock)] = None
             if self.rested_at:
                 client.waited_ms = int((self.loop.time() - self.rested_at) * 1e3)
 
     def adopt(self, sock: Socket, state: dict[str, Any]) -> None:
         """Go on with a client of another process."""
-        self.clients[client := Client(self, sock)] = None
+        self.clients[client := self.make(self, sock)] = None
         client.restore(state)
 
     def make_room(self) -> bool:
--- a/madderbeam/transport/local.py
+++ b/madderbeam/transport/local.py
@@ -81,6 +81,9 @@
         self.timer: asyncio.Handle | None = None
         self.file: File | None = None
         self.size = 0
+        self.batch = b""  # what is being written, whole
+        self.wrote: Callable[[bytes], None] = lambda data: None  # told of lines that are in the file
+        self.renames: Callable[[], None] = lambda: None  # and that it is about to be set aside
 
     def add(self, number: int, ident: str, status: str, again_ms: int) -> None:
         """A message has ended so; it is told in the same turn of the loop, with all others that end in it."""
@@ -107,7 +110,7 @@
         if not self.rest:
             data = b"".join(self.waiting.values())
             self._room(len(data))
-            self.begun, self.rest = list(self.waiting), data
+            self.begun, self.rest, self.batch = list(self.waiting), data, data
             self.waiting.clear()
         assert self.file is not None
         while self.rest:  # a disk that takes a part may take the rest at once; one that is full raises
@@ -115,6 +118,7 @@
             self.size += written
             self.rest = self.rest[written:]
         begun, self.begun = self.begun, []
+        self.wrote(self.batch)
         self.accepted(begun)
 
     def _room(self, more: int) -> None:
@@ -122,6 +126,7 @@
         if self.file is not None and self.size and self.size + more > self.limit:
             self.file.close()
             self.file = None
+            self.renames()
             self.disk.rename(self.path, self.path + ".1")
         if self.file is None:
             file = self.disk.open(self.path)
--- a/tests/simulation/planted.py
+++ b/tests/simulation/planted.py
@@ -3,7 +3,7 @@
 import sys
 from dataclasses import dataclass, replace
 
-from madderbeam.host import admission, ends, handover, listing, service, turn
+from madderbeam.host import ends, handover, listing, service, turn
 from madderbeam.host.admission import Admission
 from madderbeam.host.attempts import Attempts
 from madderbeam.host.bans import Bans
@@ -516,7 +516,7 @@
 
 @bug(1, "design")
 def refuses_with_no_time_to_come_back(patch):
-    patch.setattr(admission, "refusal", lambda wait_us: b"-BUSY\r\n")
+    patch.setattr(clients.Reply, "busy", lambda self, wait_us: self.send(b"-BUSY\r\n"))
 
 
 @bug(1, "design")
