--- a/madderbeam/config/model.py
+++ b/madderbeam/config/model.py
@@ -285,6 +285,11 @@
     kind: str = Field(default="plain", description="its kind, one of [kinds]")
     per_s: float = Field(gt=0, le=1e6, description="calls a second that it takes from all couriers together")
     endpoints: list[str | Endpoint] = Field(min_length=1, description="HOST:PORT, or a table with address")
+    topic: str | None = Field(
+        default=None,
+        pattern=r"^[A-Za-z0-9._-]{1,249}$",
+        description="it is a Kafka cluster that takes messages on this topic; its endpoints are nodes of it",
+    )
     pool: Pool | None = Field(default=None, description="how its endpoints are chosen among")
 
 
--- a/madderbeam/config/render.py
+++ b/madderbeam/config/render.py
@@ -162,6 +162,7 @@
             "state": e.state,
             "capacity_hint": p.per_s,
             "boot_ms": 0,
+            **({"topic": p.topic} if p.topic else {}),
         }
         for p in _reached(loaded, app)
         for e in _endpoints(p)
--- a/madderbeam/host/listing.py
+++ b/madderbeam/host/listing.py
@@ -36,6 +36,7 @@
         self.entries: dict[int, i.ListEntry] = {}
         self.told: dict[int, i.EndpointState] = {}  # what discovery says of those that are out by hand
         self.dests: set[int] = set()  # that ever stood in a list: its endpoints may only be gone for now
+        self.topics: dict[int, str] = {}  # of endpoints that are a Kafka partner's
         self.waits: dict[tuple[int, int], int] = {}  # told waits, by destination or route: when they end
 
     def read(self, change: dict[str, Any]) -> list[tuple[i.ListEntry, Address]]:
@@ -66,6 +67,10 @@
         entry = i.ListEntry(number, int(target["pod_group"]), STATES[target["state"]],
                             float(target.get("capacity_hint") or 0.0), kind, zone)
         address = parse_address(target["endpoint"], "endpoint")
+        if topic := target.get("topic"):
+            self.topics[number] = str(topic)
+        else:
+            self.topics.pop(number, None)
         if uid in self.bans:
             return self._kept_out(entry), address
         self.told.pop(number, None)
@@ -107,6 +112,7 @@
         if entry := self.entries.pop(endpoint, None):
             self.waits.pop((entry.destination, endpoint), None)
         self.told.pop(endpoint, None)
+        self.topics.pop(endpoint, None)
         self.uids.pop(self.names.pop(endpoint, ""), None)  # an id that has gone does not come again
 
     def _kind(self, entry: i.ListEntry) -> i.Kind:
--- a/madderbeam/host/turn.py
+++ b/madderbeam/host/turn.py
@@ -227,7 +227,7 @@
         self.routing.placed(read)
         entries = [entry for entry, _ in read]
         for entry, address in read:
-            self.calls.place(entry.endpoint, address)
+            self.calls.place(entry.endpoint, address, self.listing.topics.get(entry.endpoint, ""))
         if form is not i.ListForm.DELTA:
             for number in self.listing.unnamed(entries):
                 self._gone(number)
--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -69,6 +69,7 @@
 @dataclass
 class Pool:
     address: Address
+    topic: str = ""  # of a Kafka partner
     idle: list[Connection] = field(default_factory=list)  # the most recently used last
     timers: dict[Connection, asyncio.TimerHandle] = field(default_factory=dict)
 
@@ -237,12 +238,13 @@
         self.idle = 0  # connections, of all pools
         self.opened = self.reused = 0
 
-    def place(self, endpoint: int, address: Address) -> None:
-        """Where the endpoint is; one that moved gets new connections."""
+    def place(self, endpoint: int, address: Address, topic: str = "") -> None:
+        """Where the endpoint is; one that moved gets new connections. `topic`: it is a Kafka partner's
+        node."""
         pool = self.pools.get(endpoint)
-        if pool is None or pool.address != address:
+        if pool is None or (pool.address, pool.topic) != (address, topic):
             self.close_idle(endpoint)
-            self.pools[endpoint] = Pool(address)
+            self.pools[endpoint] = Pool(address, topic)
 
     def forget(self, endpoint: int) -> None:
         self.close_idle(endpoint)
@@ -324,7 +326,7 @@
             connection.close()
         self._wait(call, fresh=True)
         try:
-            connection = Connection(self.loop, self.network, pool.address)
+            connection = self._connection(pool)
         except OSError as error:
             log.error("no socket for a call: %s", error)
             self._unsent(call, Result.MOOT)
@@ -337,6 +339,15 @@
             connection.close()
             self._unsent(call, Result.MOOT if error.errno in LOCAL_ERRORS else Result.CONNECT_FAILED)
 
+    def _connection(self, pool: Pool) -> Connection:
+        """A new one; OSError if there is no socket for it."""
+        if not pool.topic:
+            return Connection(self.loop, self.network, pool.address)
+        from madderbeam.transport.kafka.partner import KafkaConnection  # loaded only where one is met
+
+        made: Any = KafkaConnection(self.loop, self.network, pool.address, pool.topic)
+        return made
+
     def _set_up(self, call: Call, connection: Connection) -> None:
         call.connection = connection
         call.timer(call.started + self.connect_s - self.loop.time(),
--- a/madderbeam/transport/kafka/connection.py
+++ b/madderbeam/transport/kafka/connection.py
@@ -69,7 +69,7 @@
             return
         self.reading = True
         try:
-            while not self.closing and not self.producing and len(self.pending) < HELD:
+            while not self.closed and not self.producing and len(self.pending) < HELD:
                 frame = self.reader.next()
                 if frame is None:
                     return
@@ -126,6 +126,12 @@
         body = head.bytes() + encode(api.response, values, version, api.is_flexible(version))
         reply.send(struct.pack(">i", len(body)) + body)
 
+    def flush(self) -> None:
+        """As before; one that has ended its sending is still answered what it had sent."""
+        if self.closing and not self.closed and not self.producing:
+            self._requests()
+        super().flush()
+
     def close(self) -> None:
         super().close()
         self.session = Session()  # which knew this connection
--- a/madderbeam/transport/kafka/schemas.py
+++ b/madderbeam/transport/kafka/schemas.py
@@ -53,7 +53,8 @@
                   F("partitions", (F("index", "int32"), F("current_leader_epoch", "int32", 9),
                                    F("fetch_offset", "int64"), F("log_start_offset", "int64", 5),
                                    F("max_bytes", "int32"))))),
-     F("forgotten", (F("name", "string"), F("partitions", ["int32"])), 7), F("rack_id", "string", 11)),
+     F("forgotten", (F("name", "string"), F("partitions", ["int32"])), 7, default=()),
+     F("rack_id", "string", 11, default="")),
     (THROTTLE, F("error_code", "int16", 7), F("session_id", "int32", 7),
      F("topics", (F("name", "string"),
                   F("partitions", (
--- a/tests/kafka/brokers.py
+++ b/tests/kafka/brokers.py
@@ -58,20 +58,27 @@
     async def __aenter__(self):
         for number in (1, 2):
             self.endpoints[number] = await Endpoint().start()
-        partners = "".join(f'[[partner]]\nname = "p{n}"\nnumber = {n}\nper_s = 5000\n'
-                           f'endpoints = ["127.0.0.1:{e.port}"]\n' for n, e in self.endpoints.items())
         (self.folder / "estate.toml").write_text(self.text)
-        (self.folder / "partners.toml").write_text(partners)
+        (self.folder / "partners.toml").write_text(self.partners())
         report = check(self.folder / "estate.toml")
         assert report.loaded, report.problems
         write(render(report.loaded), self.folder / "out")
         await self.start()
         return self
 
+    def partners(self):
+        return "".join(
+            f'[[partner]]\nname = "p{n}"\nnumber = {n}\nper_s = 5000\nendpoints = ["127.0.0.1:{e.port}"]\n'
+            for n, e in self.endpoints.items()
+        )
+
     async def start(self):
         config = load_sidecar(str(self.folder / "out" / "n.json"), RealDisk())
-        config = replace(config, listen=("127.0.0.1", 0), kafka=replace(
-            config.kafka, listen=("127.0.0.2", 0), advertised=("127.0.0.2", 0)))
+        config = replace(
+            config,
+            listen=("127.0.0.1", 0),
+            kafka=replace(config.kafka, listen=("127.0.0.2", 0), advertised=("127.0.0.2", 0)),
+        )
         loop = asyncio.get_running_loop()
         ports, self.lock = guard(config, real_ports(loop))
         self.host = Host(loop, ports, config)
@@ -114,6 +121,9 @@
             async def inner():
                 async with Courier(tmp_path, **given) as made:
                     await asyncio.wait_for(play(made), 40)
+
             asyncio.run(inner())
+
         return run
+
     return wrap(test) if test else wrap
