--- a/madderbeam/importers/nginx/servers.py
+++ b/madderbeam/importers/nginx/servers.py
@@ -24,6 +24,7 @@
 }
 MODIFIERS = ("=", "^~", "~*", "~")
 MOST_ATTEMPTS = 12
+PASSES = ("proxy_pass", "fastcgi_pass", "uwsgi_pass", "scgi_pass", "memcached_pass", "grpc_pass")
 
 
 @dataclass(frozen=True)
@@ -263,7 +264,8 @@
             self._refuse(at, f"location {text!r} stands twice")
             return
         self.found.routes.append(Route(how, text, target, hosts, at))
-        if target and how in ("", "^~") and len(text) > 1 and text.endswith("/"):
+        passes = any(at.children(name) for name in PASSES)  # also one that was not imported
+        if passes and how in ("", "^~") and len(text) > 1 and text.endswith("/"):
             exact = [
                 r for r in self.found.routes if r.host == hosts and r.match == "=" and r.text == text[:-1]
             ]
--- a/madderbeam/simulation/clients.py
+++ b/madderbeam/simulation/clients.py
@@ -5,8 +5,10 @@
 import functools
 import random
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from madderbeam.ports import Address
 from madderbeam.simulation.checker import Handed, Life
 from madderbeam.simulation.couriers import Machine
 from madderbeam.simulation.kernel import Kernel
@@ -48,6 +50,10 @@
         self.kernel, self.machines = kernel, machines
         self.chance = random.Random(f"clients {kernel.script.seed}")
         self.idle: dict[str, deque[ClientLine]] = {m.name: deque() for m in machines}
+        self.makes: type[ClientLine] = ClientLine  # connections of those that speak otherwise
+        self.otherwise: Callable[[Handed, Wish, bool], bytes] | None = None  # a message as they hand it in
+        self.others: dict[str, deque[ClientLine]] = {m.name: deque() for m in machines}  # of theirs, idle
+        self.habit = random.Random(f"habit {kernel.script.seed}")
         self.dead: dict[str, int] = {}
         self.drains: set[str] = set()  # couriers that are to drain, until they are back at work
         self.left_alone: set[str] = set()  # couriers that drain: the front sends nobody there
@@ -84,10 +90,11 @@
                 self.hand_in(wish)
             return
         machine = self._one(alive)
-        Program(self, machine, [self._request(wish, machine, False, False) for wish in wishes], half)
+        Program(self, machine, [self._request(wish, machine, False, False, True) for wish in wishes], half)
 
-    def _request(self, wish: Wish, machine: Machine, again: bool, marked: bool) -> tuple[Handed, bytes]:
-        """The message under a new id, as it is handed in at this courier."""
+    def _request(self, wish: Wish, machine: Machine, again: bool, marked: bool,
+                 usual: bool = False) -> tuple[Handed, bytes]:
+        """The message under a new id, as it is handed in at this courier; `usual`: over RESP2."""
         kernel, now = self.kernel, self.kernel.now_us
         self.count += 1
         ident = f"{kernel.script.seed & 0xffff:04x}{wish.number:06x}{self.count:06x}"
@@ -100,18 +107,21 @@
         fields += f",k={wish.key}" * bool(wish.key) + ",r=1" * marked + ",again=1" * again
         order = wish.order.encode() or b"0" * 16
         text = command(b"MSG.PUT", order, ident.encode(), fields.encode(), b"x" * wish.size)
+        if self.otherwise is not None and not usual and self.habit.random() < 0.5:
+            text = self.otherwise(handed, wish, marked)
         kernel.note("client", "put", id=ident, to=machine.name, wish=wish.number, cls=cls.name,
                     dest=wish.dest)
         return handed, text
 
     def send(self, machine: Machine, handed: Handed, text: bytes, fresh: bool = False) -> None:
-        kept = self.idle[machine.name]
+        usual = text.startswith(b"*")
+        kept = (self.idle if usual else self.others)[machine.name]
         while kept and not fresh:
             line = kept.pop()
             if line.usable:
                 line.ask(handed, text)
                 return
-        line = ClientLine(self, machine)
+        line = ClientLine(self, machine) if usual else self.makes(self, machine)
         line.ask(handed, text)
 
     # What becomes of it
@@ -163,9 +173,24 @@
         self.count = 0
         self.alarm: Event | None = None
         self.connected = self.over = False
-        self.stream: Stream = machine.network.dial(machine.address, self)
+        self.stream: Stream = machine.network.dial(self.address, self)
         self.stream.tap = self
 
+    @property
+    def address(self) -> Address:
+        return self.machine.address
+
+    @property
+    def kept(self) -> deque[ClientLine]:
+        """Where it rests between two messages."""
+        return self.clients.idle[self.machine.name]
+
+    @staticmethod
+    def take(buffer: bytes) -> tuple[bytes | None, bytes]:
+        """The first answer in a buffer, as a line of RESP2, None while there is none; and the rest."""
+        line, end, rest = buffer.partition(b"\r\n")
+        return (line, rest) if end else (None, buffer)
+
     @property
     def usable(self) -> bool:
         return not self.over and self.life is self.machine.life and not self.stream.gone
@@ -201,8 +226,10 @@
     def wrote(self, data: bytes) -> None:
         """The courier writes: what it says counts from now on."""
         self.tap_buffer += data
-        while b"\r\n" in self.tap_buffer:
-            line, _, self.tap_buffer = self.tap_buffer.partition(b"\r\n")
+        while True:
+            line, self.tap_buffer = self.take(self.tap_buffer)
+            if line is None:
+                return
             if self.handed is None and self.over:
                 return  # it has given up and closed
             if self.handed is None or self.handed.said:
@@ -213,8 +240,10 @@
 
     def data(self, data: bytes) -> None:
         self.buffer += data
-        while b"\r\n" in self.buffer:
-            line, _, self.buffer = self.buffer.partition(b"\r\n")
+        while True:
+            line, self.buffer = self.take(self.buffer)
+            if line is None:
+                return
             if self.handed is None:
                 continue
             self._quiet()
@@ -222,7 +251,7 @@
             wait = line.split()[1:] if line.startswith(b"-BUSY") else []
             self.clients.answered(handed, handed.said, int(wait[0]) if wait else 0)
             if self.count < 50:
-                self.clients.idle[self.machine.name].append(self)
+                self.kept.append(self)
             else:
                 self.close()
 
--- a/madderbeam/simulation/couriers.py
+++ b/madderbeam/simulation/couriers.py
@@ -64,6 +64,7 @@
         self.list_at = 0
         self.numbers: dict[int, str] = {}  # the ids of messages by their numbers in the journal
         self.control: Address = (f"10.0.0.{index + 1}", 7000)
+        self.kafka: Address = (f"10.0.0.{index + 1}", 9092)
         self.link = Link()
         self.link.latency_us, self.link.jitter_us = kernel.script.latency_us, kernel.script.jitter_us
         self.link.grid_us = kernel.script.grid_us if kernel.script.aligned else 1
@@ -114,6 +115,9 @@
                            "client_idle_ms": 60_000, "disk_mb": script.disk_mb},
                 "sidecar": {"state": "/state", "partners": local.LIST.rpartition("/")[2],
                             "finals": local.FEED, "feed_mb": local.FEED_MB}}
+        if script.kafka:
+            file["kafka"] = {"listen": "{}:{}".format(*self.kafka), "advertised": None, "users": {},
+                             "partitions": 1, "finals": "finals"}
         self.disk.files[local.CONFIG] = bytearray(json.dumps(seal(file)).encode())
 
     def _was_read(self, path: str, data: bytes) -> None:
--- a/madderbeam/simulation/endpoints.py
+++ b/madderbeam/simulation/endpoints.py
@@ -80,13 +80,17 @@
     def wait_key(self) -> int:
         return self.dest.number
 
+    def line(self, endpoint: Endpoint, stream: Stream) -> Line:
+        """Its end of a new connection."""
+        return Line(endpoint, stream)
+
     def entry(self) -> dict[str, Any]:
         return {"uid": self.uid, "endpoint": f"{self.address[0]}:{self.address[1]}", "az": "here",
                 "model": self.dest.kind, "pod_group": self.dest.number, "state": self.state,
                 "capacity_hint": self.dest.rate, "boot_ms": self.boot_ms}
 
     def accept(self, stream: Stream) -> str | Peer:
-        line = Line(self, stream)
+        line = self.line(self, stream)
         self.kernel.report.dials += 1
         if self.state == "terminated" or self.mood.outage == "refuse":
             self.kernel.report.failed_dials += 1
@@ -138,6 +142,8 @@
 class Line(Peer):
     """The endpoint's end of one connection."""
 
+    partial = True  # a bundle's answer may tell each one's end
+
     def __init__(self, endpoint: Endpoint, stream: Stream) -> None:
         self.endpoint, self.stream, self.kernel = endpoint, stream, endpoint.kernel
         self.life = endpoint.kernel.life_of(stream.network)
@@ -270,7 +276,7 @@
             self._ran(call.items, chance.random() < 0.5)
             self.kernel.after(took, self._drop)
         else:
-            if len(call.items) > 1 and chance.random() < 0.1:  # a part of it is turned away
+            if self.partial and len(call.items) > 1 and chance.random() < 0.1:  # a part of it is turned away
                 call.turned_away = {a.handed.id for a in call.items[1:] if chance.random() < 0.5}
             self._ran([a for a in call.items if a.handed.id not in call.turned_away], True)
             self._later(call, took, 200, "done", busy=True)
--- a/madderbeam/simulation/runs.py
+++ b/madderbeam/simulation/runs.py
@@ -45,7 +45,8 @@
         service_ms=chance.choice((15.0, 60.0, 150.0)), latency_us=chance.choice((50, 800, 3000)),
         jitter_us=chance.choice((0, 1500, 8000)), descriptors=chance.choice((96, 256, 256)),
         disk_mb=chance.choice((0.09, 0.15, 1.0, 3.0)), tight=chance.choice((1.1, 1.6, 3.0)),
-        grace_ms=chance.choice((100, 2000)), sidecar=seed % 5 == 4, pools=seed % 10 == 9)
+        grace_ms=chance.choice((100, 2000)), sidecar=seed % 5 == 4, pools=seed % 10 == 9,
+        kafka=seed % 10 == 4)
     if seed % LARGE == 7:
         base = replace(base, couriers=FLEET, dests=FLEET_DESTS)
     share = chance.choice((0.08, 0.15, 0.25))
--- a/madderbeam/simulation/world.py
+++ b/madderbeam/simulation/world.py
@@ -15,6 +15,7 @@
 from madderbeam.simulation.clients import Clients, Wish
 from madderbeam.simulation.couriers import Machine
 from madderbeam.simulation.endpoints import Destination, Endpoint, Nowhere
+from madderbeam.simulation.kafka import Node, Producer, produced
 from madderbeam.simulation.kernel import Broken, Kernel, Report
 from madderbeam.simulation.loop import ProcessLoop, Spinning
 from madderbeam.simulation.quality import measured
@@ -43,6 +44,8 @@
         self.dests = self._destinations()
         self.machines = [Machine(self, n) for n in range(script.couriers)]
         self.clients = Clients(self, self.machines)
+        if self.script.kafka:
+            self.clients.makes, self.clients.otherwise = Producer, produced(self.settings)
         self.wishes = self.moves = 0
         self.wished: list[Wish] = []
         self.outages: list[tuple[int, int]] = []  # destination, when its outage ended
@@ -65,8 +68,9 @@
 
     def _endpoint(self, dest: Destination, address: Address | None = None) -> Endpoint:
         number = len(self.endpoints) + 1
-        ep = Endpoint(self, f"s-{number:04x}", dest, address or (f"10.1.0.{number}", 6379),
-                      5 if dest.kind == "venue-chains" else 1)
+        make = Node if self.script.kafka and dest.number % 2 else Endpoint
+        ep = make(self, f"s-{number:04x}", dest, address or (f"10.1.0.{number}", 6379),
+                  5 if dest.kind == "venue-chains" else 1)
         self.endpoints.append(ep)
         dest.endpoints.append(ep)
         self.services[ep.address] = ep
--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -345,9 +345,15 @@
             return Connection(self.loop, self.network, pool.address)
         from madderbeam.transport.kafka.partner import KafkaConnection  # loaded only where one is met
 
-        made: Any = KafkaConnection(self.loop, self.network, pool.address, pool.topic)
+        made: Any = KafkaConnection(self.loop, self.network, pool.address, pool.topic,
+                                    lambda address: self._is_node(pool.topic, address))
         return made
 
+    def _is_node(self, topic: str, address: Address) -> bool:
+        """Whether a cluster's node that its metadata names is listed, and neither drains nor is out."""
+        known = [n for n, p in self.pools.items() if (p.address, p.topic) == (address, topic)]
+        return bool(known) and all(map(self.hooks.may_write, known))
+
     def _set_up(self, call: Call, connection: Connection) -> None:
         call.connection = connection
         call.timer(call.started + self.connect_s - self.loop.time(),
--- a/madderbeam/transport/kafka/partner.py
+++ b/madderbeam/transport/kafka/partner.py
@@ -158,8 +158,11 @@
 class KafkaConnection:
     """Carries one exchange at a time, to whichever node leads the message's partition."""
 
-    def __init__(self, loop: Any, network: Network, address: Address, topic: str) -> None:
+    def __init__(self, loop: Any, network: Network, address: Address, topic: str,
+                 may_write: Callable[[Address], bool]) -> None:
+        """`may_write`: whether a node may be sent to now; the list's word counts, not the metadata's."""
         self.loop, self.network, self.address, self.topic = loop, network, address, topic
+        self.may_write = may_write
         self.exchange: Exchange | None = None
         self.on_close: Callable[[], None] = nothing
         self.closed = self.connected = self.written = False
@@ -235,6 +238,9 @@
                 self._lose()
                 return
             assert link is not None
+            if not self.may_write(leader):  # it drains, has gone, or was never listed
+                self._unsent()
+                return
             self.carrier = link
             link.ask(schemas.PRODUCE, self.versions[schemas.PRODUCE.key], {
                 "transactional_id": None, "acks": -1, "timeout_ms": timeout,
@@ -243,8 +249,8 @@
         if link is not None and link.connected and not link.closed:
             produce()
             return
-        if not leader[0]:
-            self._lose()  # nobody leads it now
+        if not leader[0] or not self.may_write(leader):
+            self._unsent()
             return
         try:
             made = link = self.carrier = self.links[leader] = Link(
@@ -253,6 +259,15 @@
         except OSError:
             self._lose()
 
+    def _unsent(self) -> None:
+        """Nobody may be sent this message now: the metadata is older than the list, or the other way
+        round."""
+        exchange = self.exchange
+        self.close()
+        if exchange is not None:
+            exchange.head(Fate.MOVED.status, {})
+            exchange.end(False)
+
     def _partition(self, key: bytes | None) -> int:
         if key is None:
             self.next += 1
--- a/tests/importers/nginx/plain.py
+++ b/tests/importers/nginx/plain.py
@@ -17,7 +17,7 @@
 class Block:
     names: list
     default: bool
-    rows: list  # (modifier, text, target, nested rows, line)
+    rows: list  # (modifier, text, target, nested rows, line, whether it passes requests on)
 
 
 @dataclass
@@ -117,6 +117,7 @@
                     target(inner, site, constants),
                     locations(inner, site, constants, rows),
                     row["line"],
+                    any(r["directive"].endswith("_pass") for r in inner),
                 )
             )
     return found
@@ -152,13 +153,13 @@
 
 def _search(rows, path, ignored):
     rows = [row for row in rows if row[4] not in ignored]
-    for how, text, where_to, _, _ in rows:
+    for how, text, where_to, *_ in rows:
         if how == "=" and text == path:
             return where_to
-    for how, text, where_to, _, _ in rows:
+    for how, text, _, _, _, passes in rows:
         # [co] "defined by a prefix string that ends with the slash character, and requests are processed by
         # of proxy_pass, ...": the same without the slash is answered with a redirect
-        if how in ("", "^~") and where_to and len(text) > 1 and text == path + "/":
+        if how in ("", "^~") and passes and len(text) > 1 and text == path + "/":
             return None
     best = max(
         (row for row in rows if row[0] in ("", "^~") and path.startswith(row[1])),
@@ -170,11 +171,11 @@
         inner = [row for row in plain_rows if row[1] == path or row[0] != "=" and path.startswith(row[1])]
         if any(row[0] == "=" for row in inner):
             return next(row[2] for row in inner if row[0] == "=")
-        if any(row[0] != "=" and row[2] and row[1] == path + "/" for row in plain_rows):
+        if any(row[0] != "=" and row[5] and row[1] == path + "/" for row in plain_rows):
             return None
         if best[0] == "^~":
             return _search(inner, path, ignored) if inner else best[2]
-    for how, text, where_to, _, _ in rows:
+    for how, text, where_to, *_ in rows:
         if how in ("~", "~*") and re.search(text, path, re.I if how == "~*" else 0):
             return where_to
     if best:
--- a/tests/importers/nginx/test_choices.py
+++ b/tests/importers/nginx/test_choices.py
@@ -68,7 +68,7 @@
     for block in site.servers:
         pending = list(block.rows)
         while pending:
-            how, text, _, nested, _ = pending.pop(0)
+            how, text, _, nested, *_ = pending.pop(0)
             pending += nested
             if how in ("~", "~*"):
                 paths += [
@@ -158,7 +158,7 @@
 )
 
 
-@settings(max_examples=150, deadline=None)
+@settings(max_examples=150, deadline=None, derandomize=True)
 @given(
     st.lists(SERVERS, min_size=3, max_size=3),
     LOCATIONS,
--- a/tests/routing/test_pool.py
+++ b/tests/routing/test_pool.py
@@ -156,7 +156,7 @@
                            st.text("ab", max_size=2)), max_size=40)
 
 
-@settings(max_examples=400, deadline=None)
+@settings(max_examples=400, deadline=None, derandomize=True)
 @given(ROWS, STEPS, st.sampled_from(sorted(METHODS)))
 def test_choices_are_those_of_the_documented_model(rows, steps, method):
     if method == "hash":
--- a/tests/simulation/planted.py
+++ b/tests/simulation/planted.py
@@ -16,6 +16,7 @@
 from madderbeam.policy import health, interface, messages
 from madderbeam.routing import marks, pool
 from madderbeam.transport import calls, clients, control, discovery, local
+from madderbeam.transport.kafka import front, outcomes, partner
 
 
 @dataclass(frozen=True)
@@ -559,7 +560,7 @@
 def goes_on_calling_an_endpoint_where_it_was(patch):
     place = calls.Calls.place
     patch.setattr(calls.Calls, "place",
-                  lambda self, endpoint, address: endpoint in self.pools or place(self, endpoint, address))
+                  lambda self, endpoint, *more: endpoint in self.pools or place(self, endpoint, *more))
 
 
 @bug(0, "drain", script="moved_amid_a_connection")
@@ -704,3 +705,39 @@
         self.probe_out = out
         return found
     patch.setattr(marks.Mark, "ended", keeps)
+
+
+@bug(64, "repeat", "refusal")
+def takes_a_produce_that_timed_out_at_the_broker_for_unsent(patch):
+    patch.setitem(outcomes.FATES, 7, ("REQUEST_TIMED_OUT", outcomes.Fate.NEVER))
+
+
+@bug(14, "repeat", "refusal")
+def takes_a_lost_acknowledgement_for_a_produce_that_never_went_out(patch):
+    patch.setattr(partner.KafkaConnection, "_whole", lambda self: None)
+
+
+@bug(24, "wait")
+def heeds_no_throttle_of_a_broker(patch):
+    patch.setattr(partner, "MOST_WAIT_MS", 0)
+
+
+@bug(4, "drain")
+def goes_to_the_leader_whatever_the_list_says(patch):
+    patch.setattr(calls.Calls, "_is_node", lambda self, topic, address: True)
+
+
+@bug(4, "lost", "form")
+def tells_a_producer_of_success_before_the_message_is_taken_on(patch):
+    handed = front._Handed.hand_in
+
+    def hasty(self, puts):
+        told, self.told = self.told, lambda outcome: None
+        told(front._Outcome(0, "", self.offset))
+        handed(self, puts)
+    patch.setattr(front._Handed, "hand_in", hasty)
+
+
+@bug(4, "lost", "form")
+def tells_a_producer_that_a_refused_record_was_taken(patch):
+    patch.setattr(front._Place, "busy", lambda self, wait_us: self.taken())
