--- a/madderbeam/cli.py
+++ b/madderbeam/cli.py
@@ -9,6 +9,7 @@
 from madderbeam.config.commands import add_commands as add_config
 from madderbeam.importers.commands import add_commands as add_import
 from madderbeam.journal.commands import add_commands as add_journal
+from madderbeam.quota.commands import add_commands as add_quota
 from madderbeam.sidecar.commands import add_commands as add_sidecar
 from madderbeam.simulation.commands import add_commands as add_simulation
 
@@ -23,6 +24,7 @@
     add_config(commands)
     add_import(commands)
     add_journal(commands)
+    add_quota(commands)
     add_simulation(commands)
     return top
 
--- a/madderbeam/config/check.py
+++ b/madderbeam/config/check.py
@@ -7,6 +7,7 @@
 import ipaddress
 import math
 import os
+import random
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -166,7 +167,7 @@
             return None
         source.kept = {
             key: [n for n, x in enumerate(source.raw[key]) if x in raw[key]]
-            for key in ("application", "partner", "route")
+            for key in ("application", "partner", "route", "quota")
             if isinstance(raw.get(key), list)
         }
 
@@ -610,6 +611,39 @@
     return report
 
 
+def _quota(estate: m.Estate, source: Source, report: Report) -> None:
+    """The tree of quotas stands, and each tenant and class counts at one node."""
+    numbered = source.kept.get("quota", range(len(estate.quota)))
+    seen: dict[str, int] = {}
+    owners: dict[tuple[str, str], str] = {}
+    right = True
+    for index, node in zip(numbered, estate.quota, strict=False):
+        at: Key = ("quota", index)
+        if node.name in seen:
+            report.add(source, (*at, "name"), f"{node.name!r} stands twice", "each once")
+            right = False
+        if node.parent and node.parent not in seen:
+            report.add(source, (*at, "parent"), f"no node {node.parent!r} ahead of it", some(seen),
+                       like(node.parent, seen))
+            right = False
+        if not node.parent and node.share != m.Rates():
+            report.add(source, (*at, "share"), "there is no parent of whose limit it has a part", "limit")
+        seen[node.name] = index
+        _named(node.tenants, estate.tenants, "tenant", (*at, "tenants"), source, report)
+        _named(node.classes, estate.classes, "class", (*at, "classes"), source, report)
+        for key in ((t, c) for t in node.tenants or [""] for c in node.classes or [""]):
+            if key != ("", "") and key in owners:
+                report.add(source, at, f"{owners[key]} counts the same messages", "one node for each")
+            owners.setdefault(key, node.name)
+    if right and estate.quota:
+        from madderbeam.config.quotas import quota
+        from madderbeam.quota.gate import Gate, QuotaError
+        try:
+            Gate(quota(estate, 1) or {}, 0, random.Random(0), 1)
+        except QuotaError as error:
+            report.add(source, ("quota", 0), str(error).removeprefix("quota: "), "a tree that adds up")
+
+
 def _across(
     estate: m.Estate, partners: m.Partners | None, folder: Path, source: Source, report: Report
 ) -> None:
@@ -628,6 +662,7 @@
             _named(
                 app.partners, [p.name for p in partners.partner], "partner", (*at, "partners"), source, report
             )
+    _quota(estate, source, report)
     _listeners(apps, folder, source, report)
     blank = m.Partners.model_construct(kinds={}, partner=[])
     _folders(apps, Loaded(folder, estate, partners or blank, ()), source, report)
--- a/madderbeam/config/model.py
+++ b/madderbeam/config/model.py
@@ -177,6 +177,35 @@
     )
 
 
+class Rates(Table):
+    """Messages and bytes, by the second and by the hour; what lacks is not limited."""
+
+    messages_per_s: int | None = Field(default=None, ge=1, le=10**9, description="messages a second")
+    bytes_per_s: int | None = Field(default=None, ge=1, le=10**12, description="bytes of bodies a second")
+    messages_per_h: int | None = Field(default=None, ge=1, le=10**9, description="messages in any hour")
+    bytes_per_h: int | None = Field(default=None, ge=1, le=10**12, description="bytes in any hour")
+    burst_messages: int | None = Field(
+        default=None, ge=1, le=10**9, description="messages at once; default: one second's"
+    )
+    burst_bytes: int | None = Field(
+        default=None, ge=1, le=10**12, description="bytes at once; default: one second's"
+    )
+
+
+class Quota(Table):
+    """One node of the tree of quotas: an organisation, an ensemble, a class of its messages."""
+
+    name: Name = Field(description="its name")
+    parent: str = Field(default="", description="the node above, which stands ahead of it; none: at the top")
+    limit: Rates = Field(default=Rates(), description="what passes here, from all its children together")
+    share: Rates = Field(
+        default=Rates(), description="its part of the parent's limit; beyond it, it borrows what others leave"
+    )
+    reserved: Rates = Field(default=Rates(), description="the part of its share that nobody else may borrow")
+    tenants: list[str] = Field(default=[], description="whose messages count here; none: those of any")
+    classes: list[str] = Field(default=[], description="of which classes; none: of all")
+
+
 class Estate(Table):
     """estate.toml: one machine's applications."""
 
@@ -184,6 +213,7 @@
     defaults: Settings = Field(default=Settings(), description="settings of all applications")
     classes: dict[Name, MessageClass] = Field(min_length=1, description="classes of messages, by name")
     tenants: dict[Name, Tenant] = Field(default={}, description="tenants, by name")
+    quota: list[Quota] = Field(default=[], description="quotas, nested by `parent`; none: no limits")
     application: list[Application] = Field(min_length=1, description="the applications")
 
 
--- a/madderbeam/config/platform.py
+++ b/madderbeam/config/platform.py
@@ -63,6 +63,7 @@
     listen_fd: int = -1  # an open descriptor that listens at `listen` already
     zone: str = ""  # where it stands, for pools that prefer their own
     kafka: Kafka | None = None
+    quota: dict[str, Any] | None = None  # as quota.gate reads it
 
 
 def parse_address(text: Any, field: str) -> Address:
@@ -121,7 +122,7 @@
         state=side["state"], seed=secrets.randbits(64), sockets=int(limits["sockets"]),
         disk_bytes=int(limits["disk_mb"] * 1_000_000) - GUARD_BYTES, known=_known(known), settings=settings,
         zones=tuple(raw["settings"]["localities"]), zone=str(raw.get("zone", "")),
-        kafka=_kafka(raw.get("kafka"), path),
+        kafka=_kafka(raw.get("kafka"), path), quota=_quota(raw.get("quota"), path),
         sidecar=Sidecar(listed, "" if web else side["finals"], int(side["feed_mb"] * 1e6),
                         int(limits["clients"]), limits["client_idle_ms"] / 1e3,
                         limits.get("journal_sync", False)))
@@ -138,6 +139,19 @@
         raise ConfigError(f"{shown}: kafka: can't be used: {error!r}") from None
 
 
+def _quota(raw: Any, shown: str) -> dict[str, Any] | None:
+    if raw is None:
+        return None
+    import random
+
+    from madderbeam.quota.gate import Gate, QuotaError
+    try:
+        Gate(raw, 0, random.Random(0), 1)
+    except (QuotaError, AttributeError) as error:
+        raise ConfigError(f"{shown}: {error}") from None
+    return dict(raw)
+
+
 def partner_list(data: bytes, shown: str) -> dict[str, Any]:
     """A rendered partner list in discovery's form; rendered.Unfit if it can't be used."""
     value = rendered.parse(data, shown)
--- a/madderbeam/config/render.py
+++ b/madderbeam/config/render.py
@@ -12,6 +12,7 @@
 
 from madderbeam.config import model as m
 from madderbeam.config.check import WINDOW_SHARE, Loaded
+from madderbeam.config.quotas import quota
 from madderbeam.config.rendered import FORM, seal
 
 EFFECTS = {"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}
@@ -186,6 +187,7 @@
                   **({"routing": routing} if routing else {})}
         files.append(File(partner_file(app), _dump(seal(listed))))
         unix = app.listen.startswith("unix:")
+        tree = quota(loaded.estate, app.couriers or len(loaded.applications))
         listen = f"unix:{os.path.realpath(loaded.folder / app.listen[5:])}" if unix else app.listen
         finals = loaded.finals(app)
         courier = {
@@ -194,6 +196,7 @@
             "listen": listen,
             **({"control": app.control} if app.control else {}),
             **({"zone": app.zone} if app.zone else {}),
+            **({"quota": tree} if tree else {}),
             **({"kafka": app.kafka.model_dump()} if app.kafka else {}),
             "settings": _settings(loaded, app),
             "limits": {
--- a/madderbeam/host/admission.py
+++ b/madderbeam/host/admission.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable, Iterable
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from madderbeam.host.attempts import Attempts
 from madderbeam.host.ends import Ends
@@ -17,6 +18,9 @@
 from madderbeam.transport.answers import Answer
 from madderbeam.transport.clients import BadRequest, Put
 
+if TYPE_CHECKING:
+    from madderbeam.host.quota import Quota
+
 LONGEST = 10  # a message that wants to live longer than so many deadlines of its class is none of ours
 log = logging.getLogger(__name__)
 
@@ -35,6 +39,7 @@
         self.ends, self.attempts = ends, attempts
         self.cancel, self.tell, self.come_back_us = cancel, tell, come_back_us
         self.figures, self.routing = figures, routing
+        self.quota: Quota | None = None  # set where there is one
         self.numbers = journal.last
         self.classes = {c.name: n for n, c in enumerate(settings.classes)}
         self.tenants = {t.name: n for n, t in enumerate(settings.tenants)}
@@ -56,6 +61,18 @@
             self.figures.ended(DECLINED, cls)
             reply.busy(self.come_back_us())
             return
+        weight = 1.0
+        if self.quota is not None:
+            verdict = self.quota.ask(tenant, cls, len(put.body))
+            if verdict.why:
+                self.figures.ended(ABORTED, cls)
+                reply.failed(verdict.why)
+                return
+            if not verdict.passed:
+                self.figures.ended(DECLINED, cls)
+                reply.busy(verdict.after_us)
+                return
+            weight = verdict.weight
         self.numbers += 1
         until = self.journal.wall() + put.life_ms / 1e3
         m = Held(self.numbers, put.id, cls, tenant, put.dest, put.key, until,
@@ -63,7 +80,7 @@
         self._replace(m)
         self.arrived[m.number] = (m, [reply])
         self.arriving[m.id] = m.number
-        self.tell(self.arrival(m))
+        self.tell(self.arrival(m, weight))
 
     def _checked(self, put: Put) -> tuple[int, int]:
         """The numbers of its class and tenant."""
@@ -81,15 +98,16 @@
             raise BadRequest("dest: no such destination")
         return cls, tenant
 
-    def arrival(self, m: Held) -> i.MessageArrived:
-        """The event that tells the decision module of a message, also of one restored."""
+    def arrival(self, m: Held, weight: float = 1.0) -> i.MessageArrived:
+        """The event that tells the decision module of a message, also of one restored. `weight`: by
+        quotas."""
         ran = m.may_have_run_at
         mono = self.journal.wall.monotonic
         # After a reboot an attempt may lie before the monotonic clock's zero: a negative time would say that
         # none may have run, and a deposit would go out again.
         ran_at = max(0, mono(ran)) if ran else -1
         return i.MessageArrived(m.number, m.cls, m.dest, mono(m.until), m.tenant, m.order,
-                                m.resubmitted, m.tries, ran_at, self.routing.affinity(m))
+                                m.resubmitted, m.tries, ran_at, weight, self.routing.affinity(m))
 
     def _replace(self, m: Held) -> None:
         """A key that is still open here is handed in again only by a client that gave the older one up."""
--- a/madderbeam/host/turn.py
+++ b/madderbeam/host/turn.py
@@ -77,6 +77,10 @@
         self.admission = Admission(self.s, self.journal, self.listing, self.ends, self.attempts,
                                    self.calls.cancel, self.tell, self.courier.come_back_us,
                                    self.figures, self.routing)
+        if config.quota is not None:  # loaded only where it is on
+            from madderbeam.host.quota import Quota
+            self.admission.quota = Quota(config, config.quota, ports.disk, ports.clock,
+                                         lambda: self.journal.open)
         self.clients = ClientServer(loop, ports.network, self.admission.put, around.places)
         self.fronts = [self.clients]
         if config.kafka is not None:  # loaded only where it is on
@@ -205,10 +209,11 @@
         return self.clients.listening and not self.closing_at and not self.drain.on
 
     def _figures(self) -> str:
+        quota = self.admission.quota
         avoided = self.listing.out_by_hand.union(self.courier.avoided())
         ejected = sum(number in self.listing.entries for number in avoided)
         return self.figures.lines(self.journal.open, len(self.listing.entries), ejected, self.journal.damage,
-                                  self.routing.figures())
+                                  self.routing.figures() | (quota.figures() if quota else {}))
 
     # The list
 
--- a/madderbeam/policy/interface.py
+++ b/madderbeam/policy/interface.py
@@ -202,6 +202,7 @@
     # Of a message restored after a restart, or whose key is known from an earlier one:
     tries: int = 0  # attempts so far
     ran_at_us: int = -1  # when the first attempt that may have run was sent
+    weight: float = 1.0  # of its worth, against the others held
     affinity: str = ""  # what messages share that a hashing pool sends to one endpoint
 
 
--- a/madderbeam/quota/split.py
+++ b/madderbeam/quota/split.py
@@ -59,7 +59,7 @@
     """One child's part in a split."""
 
     __slots__ = ("reserved", "rate", "holds", "level", "debt", "since", "state", "pending", "most_debt",
-                 "borrowed", "repaid", "shared")
+                 "borrowed", "repaid", "shared", "mark")
 
     def __init__(self, reserved: Bucket, rate: int, holds: int, repay_us: int, now: int) -> None:
         """`rate`, `holds`: of the share beside its reserved part."""
@@ -69,6 +69,7 @@
         self.most_debt = rate * repay_us
         self.shared = bool(rate or reserved.rate)  # what it takes beyond its share is borrowed
         self.borrowed = self.repaid = 0  # in all, in units
+        self.mark = holds + reserved.holds  # level as it was saved last, with that of its reserved part
 
     def own(self, now: int) -> int:
         """The level of its own bucket; changes of state until then are done."""
@@ -87,7 +88,7 @@
     """A limit and its parts."""
 
     __slots__ = ("rate", "holds", "per", "free", "pool", "pool_holds", "flowing", "since", "due", "parts",
-                 "count")
+                 "count", "mark")
 
     def __init__(self, amount: int, per: str, burst: int, now: int) -> None:
         self.rate, self.holds, self.per = rate_of(amount, per), burst_of(amount, per, burst), per
@@ -98,6 +99,7 @@
         self.due: list[tuple[int, int, Part]] = []  # changes of state, by time
         self.parts: list[Part] = []
         self.count = 0
+        self.mark = self.pool  # as it was saved last
 
     def part(self, share: int, reserved: int, burst: int, now: int) -> Part:
         """A child's part. Its burst is a part of the limit's, as its share is; of what is not reserved the
--- a/madderbeam/simulation/checker.py
+++ b/madderbeam/simulation/checker.py
@@ -156,6 +156,7 @@
         self.handed: dict[str, Handed] = {}
         self.by_key: dict[tuple[str, str], list[Attempt]] = {}  # of one courier
         self.by_order: dict[tuple[str, str], list[Handed]] = {}
+        self.meter: Callable[[Handed, int], None] | None = None  # of quotas, where there are any
         self.drained: dict[tuple[str, str], int] = {}  # (courier, uid): when it was told
         self.by_hand: dict[tuple[str, str], int] = {}  # (courier, uid): when it said yes to taking it out
         self.waits: dict[tuple[str, int, Any], list[tuple[int, int, int, Stream]]] = {}
@@ -198,6 +199,8 @@
             self._no_time(m, "refused")
         if m.said_us < 0:
             m.said_us, m.said = self.scheduler.now_us, kind
+            if kind == "ok" and self.meter is not None:
+                self.meter(m, m.said_us)
             if kind == "ok" and m.order and m.life:
                 self.by_order.setdefault((m.life.courier, m.order), []).append(m)
         return kind
--- a/madderbeam/simulation/couriers.py
+++ b/madderbeam/simulation/couriers.py
@@ -115,6 +115,8 @@
                            "client_idle_ms": 60_000, "disk_mb": script.disk_mb},
                 "sidecar": {"state": "/state", "partners": local.LIST.rpartition("/")[2],
                             "finals": local.FEED, "feed_mb": local.FEED_MB}}
+        if self.kernel.quota:
+            file["quota"] = self.kernel.quota
         if script.kafka:
             file["kafka"] = {"listen": "{}:{}".format(*self.kafka), "advertised": None, "users": {},
                              "partitions": 1, "finals": "finals"}
--- a/madderbeam/simulation/world.py
+++ b/madderbeam/simulation/world.py
@@ -16,6 +16,7 @@
 from madderbeam.simulation.couriers import Machine
 from madderbeam.simulation.endpoints import Destination, Endpoint, Nowhere
 from madderbeam.simulation.kafka import Node, Producer, produced
+from madderbeam.simulation.quotas import Meter, tree
 from madderbeam.simulation.kernel import Broken, Kernel, Report
 from madderbeam.simulation.loop import ProcessLoop, Spinning
 from madderbeam.simulation.quality import measured
@@ -44,6 +45,11 @@
         self.dests = self._destinations()
         self.machines = [Machine(self, n) for n in range(script.couriers)]
         self.clients = Clients(self, self.machines)
+        if self.script.quota:
+            self.quota = tree([t["name"] for t in self.raw_settings["tenants"]], [], self.script.couriers,
+                              self.script.rate_per_s / self.script.couriers / 2, self.script.seed)
+            self.checker.meter = Meter(self.quota, self.checker,
+                                       lambda m: self.clients.holders[m.id].tenant).taken
         if self.script.kafka:
             self.clients.makes, self.clients.otherwise = Producer, produced(self.settings)
         self.wishes = self.moves = 0
--- /dev/null
+++ b/tests/quota/test_gate.py
@@ -0,0 +1,332 @@
+"""The gate: which node counts, what is told, what outlasts the process; and a courier with quotas on
+loopback."""
+
+import asyncio
+import json
+import random
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from loopback import Client, bounded
+from test_pooled_courier import ESTATE, Pooled
+
+from madderbeam.cli import main
+from madderbeam.config.check import check
+from madderbeam.quota.gate import BORROWED_WEIGHT, Gate, QuotaError
+from madderbeam.quota.split import HOUR_US
+
+S = 1_000_000
+
+
+def node(name, parent="", tenants=(), classes=(), **rates):
+    row = {"name": name, "parent": parent, "tenants": list(tenants), "classes": list(classes)}
+    return row | rates
+
+
+def gate(*nodes, couriers=1, now=0, places=100):
+    return Gate({"form": 1, "couriers": couriers, "nodes": list(nodes)}, now, random.Random(1), places)
+
+
+def school(reserved=5, hour=None):
+    """A school of two ensembles, ten messages a second each of twenty; deposits have a part reserved."""
+    more = {"messages_per_h": hour} if hour else {}
+    part = {"messages_per_h": hour // 2} if hour else {}
+    kept = {"messages_per_h": hour // 4} if hour else {}
+    return [
+        node("school", limit={"messages_per_s": 20, **more}),
+        node(
+            "choir",
+            "school",
+            ["choir"],
+            share={"messages_per_s": 10, **part},
+            reserved={"messages_per_s": reserved, **kept},
+        ),
+        node(
+            "band",
+            "school",
+            ["band"],
+            share={"messages_per_s": 10, **part},
+            reserved={"messages_per_s": reserved, **kept},
+        ),
+    ]
+
+
+def passes(g, tenant, now, most=1000, size=0, cls="notice", held=0):
+    found = 0
+    while found < most and g.admit(tenant, cls, size, held, now).passed:
+        found += 1
+    return found
+
+
+def test_a_message_counts_at_its_most_particular_node():
+    g = gate(
+        node("federation", limit={"messages_per_s": 100}),
+        node("choir", "federation", ["choir"], share={"messages_per_s": 50}),
+        node("choir-deposits", "choir", ["choir"], ["deposit"]),
+        node("deposits", "federation", [], ["deposit"], share={"messages_per_s": 10}),
+    )
+    keys = (("choir", "notice"), ("choir", "deposit"), ("band", "deposit"), ("band", "notice"))
+    assert [g.node(*key).name for key in keys] == ["choir", "choir-deposits", "deposits", g.tree.root.name]
+
+
+def test_a_flood_borrows_up_to_its_organisation_and_takes_nothing_of_another():
+    g = gate(*school(), node("other", limit={"messages_per_s": 8}, tenants=["other"]))
+    assert passes(g, "choir", 0) <= 20 - 5  # never what the band has reserved
+    assert passes(g, "band", 0) >= 5 and passes(g, "other", 0) == 8
+    later = [g.admit("choir", "notice", 0, 0, n * 1000).passed for n in range(1, 3000)]
+    assert sum(later) <= 3 * 20
+
+
+def test_what_is_borrowed_weighs_less_and_gets_no_place_among_many_held():
+    g = gate(*school())
+    verdicts = [g.admit("choir", "notice", 0, 0, 0) for _ in range(12)]
+    own = [v for v in verdicts if v.passed and not v.borrowed]
+    lent = [v for v in verdicts if v.passed and v.borrowed]
+    assert own and lent and {v.weight for v in own} == {1.0} and {v.weight for v in lent} == {BORROWED_WEIGHT}
+    g = gate(*school())
+    found = [g.admit("choir", "notice", 0, 60, 0) for _ in range(12)]
+    assert [v.passed for v in found].count(True) == len(own) and found[-1].after_us > 0
+    assert g.admit("band", "notice", 0, 99, 0).passed  # on its own room it is the module's matter
+
+
+def test_the_time_to_come_back_is_true_and_not_the_same_for_all():
+    g = gate(*school())
+    passes(g, "choir", 0)
+    told = [g.admit("choir", "notice", 0, 0, 0).after_us for _ in range(50)]
+    assert min(told) > 0 and len(set(told)) > 20
+    assert g.admit("choir", "notice", 0, 0, min(told)).passed
+
+
+def test_64_kib_against_10_kib_a_second_can_never_pass_and_is_told_so():
+    g = gate(node("choir", tenants=["choir"], limit={"bytes_per_s": 10_240}))
+    found = g.admit("choir", "notice", 65_536, 0, 0)
+    assert not found.passed and "can never pass" in found.why and "10240" in found.why and not found.after_us
+    assert g.admit("choir", "notice", 10_240, 0, 0).passed
+
+
+def test_a_borrower_that_goes_quiet_repays_and_a_lender_that_wakes_has_its_reserved_part():
+    g = gate(*school(reserved=5))
+    passes(g, "choir", 0)
+    owed = {u.node: u.owed for u in g.use(1)}
+    assert owed["all/school/choir"] > 0
+    assert passes(g, "band", 2) >= 5
+    assert not {u.owed for u in g.use(11 * S)} - {0}  # paid within ten seconds, in silence
+
+
+def restarted(g, nodes, kept, after_us, now=50 * S):
+    fresh = gate(*nodes, now=now)
+    fresh.restore(json.loads(json.dumps(kept)), after_us, now)
+    return fresh
+
+
+def test_debts_and_the_hour_outlast_the_process():
+    nodes = school(hour=4000)
+    g = gate(*nodes)
+    for n in range(600):
+        g.admit("choir", "notice", 0, 0, n * 100_000)
+    now = 60 * S
+    before = {(u.node, u.dimension): u for u in g.use(now)}
+    again = restarted(g, nodes, g.dump(now), 0)
+    after = {(u.node, u.dimension): u for u in again.use(50 * S)}
+    for key in (("all/school/choir", "messages a hour"), ("all/school/band", "messages a hour")):
+        assert after[key].owed == before[key].owed
+        assert before[key].room * 0.9 <= after[key].room <= before[key].room
+    assert passes(again, "choir", 50 * S) == 0  # the seconds' buckets begin empty
+
+
+def test_limits_that_shrink_below_what_is_in_use_and_grow_again_keep_the_debt():
+    nodes = school(hour=4000)
+    g = gate(*nodes)
+    for n in range(600):
+        g.admit("choir", "notice", 0, 0, n * 100_000)
+    owed = next(u.owed for u in g.use(60 * S) if u.node == "all/school/choir" and "hour" in u.dimension)
+    smaller = restarted(g, school(hour=400), g.dump(60 * S), 0)
+    use = {(u.node, u.dimension): u for u in smaller.use(50 * S)}
+    assert use["all/school/choir", "messages a hour"].owed <= owed
+    assert all(u.room >= 0 for u in use.values())
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["choir", "band"]), st.integers(0, 3 * 60 * S), st.booleans()),
+        min_size=1,
+        max_size=60,
+    ),
+    st.integers(0, 10),
+)
+def test_no_hour_sees_more_than_the_limit_over_kills_and_clocks_that_step_back(steps, back_s):
+    nodes, limit = school(hour=80), 80
+    g, now, kept, took = gate(*nodes), 0, None, []
+    kept, saved = g.dump(now), now
+    for tenant, later, killed in steps:
+        now += later
+        if killed:
+            elapsed = max(0, now - saved - back_s * S)  # the wall clock may have stepped back meanwhile
+            g = gate(*nodes, now=now)
+            g.restore(kept, elapsed, now)
+            kept, saved = g.dump(now), now
+        for _ in range(30):
+            verdict = g.admit(tenant, "notice", 0, 0, now)
+            if not verdict.passed:
+                break
+            took.append(now)
+            if g.due:
+                kept, saved = g.dump(now), now
+    for end in took:
+        assert sum(end - HOUR_US < at <= end for at in took) <= limit
+
+
+def test_a_thousand_ensembles_that_send_once_an_hour_and_ten_levels():
+    rows = [node("root", limit={"messages_per_h": 1_000_000, "messages_per_s": 100_000})]
+    rows += [node(f"e{n}", "root", [f"t{n}"], share={"messages_per_h": 900}) for n in range(1000)]
+    g = gate(*rows)
+    for hour in range(3):
+        for n in range(1000):
+            assert g.admit(f"t{n}", "notice", 100, 0, hour * HOUR_US + n).passed
+    g.use(5 * HOUR_US)
+    assert all(
+        not split.due for top in g.tree.nodes() for split in top.splits if split
+    )  # nothing is kept of them
+    deep = [node("l0", limit={"messages_per_s": 1000})]
+    deep += [node(f"l{n}", f"l{n - 1}", limit={"messages_per_s": 1000}) for n in range(1, 9)]
+    deep.append(node("leaf", "l8", ["choir"]))
+    assert passes(gate(*deep), "choir", 0, most=2000) == 1000
+
+
+@pytest.mark.parametrize(
+    "nodes, told",
+    [
+        (
+            [node("a", limit={"messages_per_s": 1}), node("b", "a", share={"messages_per_s": 2})],
+            "within its limit",
+        ),
+        ([node("a"), node("b", "a", share={"messages_per_s": 2})], "needs a limit"),
+        ([node("b", "nowhere")], "nowhere"),
+        ([{"parent": ""}], "name"),
+    ],
+)
+def test_a_tree_that_does_not_add_up(nodes, told):
+    with pytest.raises(QuotaError) as error:
+        gate(*nodes)
+    assert told in str(error.value) and "\n" not in str(error.value)
+
+
+# In the estate and on loopback
+
+TREE = """
+[[quota]]
+name = "school"
+limit = { messages_per_s = 40, burst_messages = 60, messages_per_h = 100000 }
+
+[[quota]]
+name = "choir"
+parent = "school"
+tenants = ["t"]
+share = { messages_per_s = 10, burst_messages = 10, messages_per_h = 50000 }
+
+[[quota]]
+name = "band"
+parent = "school"
+tenants = ["u"]
+share = { messages_per_s = 20, burst_messages = 30, messages_per_h = 40000 }
+reserved = { messages_per_s = 20, messages_per_h = 40000 }
+"""
+TWO = ESTATE.replace("[tenants.t]\nshare = 1.0", "[tenants.t]\nshare = 0.5\n[tenants.u]\nshare = 0.5")
+
+
+class Limited(Pooled):
+    """A courier with quotas."""
+
+    def write(self, partners):
+        estate = TWO.replace("[[application]]", TREE + "\n[[application]]")
+        (self.folder / "estate.toml").write_text(estate)
+        (self.folder / "partners.toml").write_text(partners)
+        report = check(self.folder / "estate.toml")
+        assert report.loaded, report.problems
+        from madderbeam.config.render import render, write
+
+        write(render(report.loaded), self.folder / "out")
+
+
+def limited(test):
+    def run(tmp_path, capsys):
+        async def inner():
+            made = Limited(tmp_path)
+            made.capsys = capsys
+            try:
+                await made.endpoint("a")
+                client = await made.start(made.partner(1, "venue", [("a", "")]))
+                await test(made, client)
+            finally:
+                await made.close()
+
+        asyncio.run(inner())
+
+    return run
+
+
+def message(ident, tenant="t", size=5):
+    fields = f"c=safe,t={tenant},d=4000,dest=1"
+    return Client.command(b"MSG.PUT", b"0" * 16, ident.encode(), fields.encode(), b"x" * size)
+
+
+@limited
+async def test_a_flood_is_refused_with_a_time_and_the_others_go_on(made, client):
+    answers = [await client.send(message(f"t{n}")) for n in range(80)]
+    assert 5 < answers.count("+OK") <= 40 and all(a == "+OK" or a.startswith("-BUSY ") for a in answers)
+    assert [await client.send(message(f"u{n}", "u")) for n in range(20)] == ["+OK"] * 20
+    assert [await client.send(message(f"t{n}")) for n in range(5)] == ["+OK"] * 5  # known: not counted again
+    figures = dict(line.split("=") for line in made.host._figures().splitlines())
+    assert int(figures["app.quota.refused"]) == sum(a != "+OK" for a in answers)
+    await bounded(made.settled())
+    rendered = str(made.folder / "out" / "n.json")
+    assert main(["quota", "show", rendered]) == 0 and "all/school/choir" in made.capsys.readouterr().out
+    assert main(["quota", "show", rendered, "--json"]) == 0
+    assert main(["quota", "show", str(made.folder / "none.json")]) == 2
+
+
+@limited
+async def test_a_restart_does_not_give_a_flood_new_room(made, client):
+    for n in range(80):
+        await client.send(message(f"t{n}"))
+    await bounded(made.settled())
+    made.host.close()
+    made.lock.close()
+    made.host = None
+    from madderbeam.config.platform import load_sidecar
+    from madderbeam.host.sidecar import guard
+    from madderbeam.host.turn import Host
+    from madderbeam.ports.real import RealDisk, real_ports
+
+    loop = asyncio.get_running_loop()
+    config = replace(load_sidecar(str(made.folder / "out" / "n.json"), RealDisk()), listen=("127.0.0.1", 0))
+    ports, made.lock = guard(config, real_ports(loop))
+    made.host = Host(loop, ports, config)
+    client = await Client().open(made.host.start())
+    answers = [await client.send(message(f"v{n}")) for n in range(30)]
+    assert answers.count("+OK") <= 6
+
+
+@pytest.mark.parametrize(
+    "told, change",
+    [
+        ("stands twice", ('name = "band"', 'name = "choir"')),
+        ("no node", ('parent = "school"\ntenants = ["t"]', 'parent = "scool"\ntenants = ["t"]')),
+        ("no tenant", ('tenants = ["t"]', 'tenants = ["x"]')),
+        ("within its limit", ("messages_per_s = 10,", "messages_per_s = 100,")),
+        ("counts the same messages", ('tenants = ["u"]', 'tenants = ["t"]')),
+        ("no parent", ('parent = "school"\ntenants = ["t"]', 'tenants = ["t"]')),
+    ],
+)
+def test_a_mistake_in_the_tree_is_told_with_its_line(told, change, tmp_path):
+    assert change[0] in TREE
+    estate = TWO.replace("[[application]]", TREE.replace(*change, 1) + "\n[[application]]")
+    (tmp_path / "estate.toml").write_text(estate)
+    (tmp_path / "partners.toml").write_text(
+        '[[partner]]\nname = "v"\nnumber = 1\nper_s = 5\nendpoints = ["127.0.0.1:1"]\n'
+    )
+    problems = check(tmp_path / "estate.toml").problems
+    assert any(told in str(p) for p in problems), problems
