--- a/tests/guard/test_guard.py
+++ b/tests/guard/test_guard.py
@@ -36,7 +36,8 @@
     async def start(self):
         readable = [sys.prefix, sys.base_prefix, str(ROOT), str(self.fleet.folder / "config.json"),
                     "/proc/sys/kernel/random/boot_id"]
-        env = {**os.environ, **self.fleet.env(), "PYTHONPATH": str(HERE), "PYTHONDONTWRITEBYTECODE": "1",
+        env = {**os.environ, **self.fleet.env(), "PYTHONPATH": f"{HERE}{os.pathsep}{ROOT}",
+               "PYTHONDONTWRITEBYTECODE": "1",
                "MADDERBEAM_GUARD": str(self.report), "MADDERBEAM_READABLE": os.pathsep.join(readable),
                "MADDERBEAM_PLANT": self.plant}
         self.process = self.fleet.process = await asyncio.create_subprocess_exec(
