--- a/bench/quota.py
+++ b/bench/quota.py
@@ -1,6 +1,6 @@
 """What an admission by the quotas' tree costs: CPU and memory, by depth and by how many nodes there are.
 
-    python bench/quota.py [--nodes 10000] [--depth 4] [--messages 40000]
+python bench/quota.py [--nodes 10000] [--depth 4] [--messages 40000]
 """
 
 from __future__ import annotations
@@ -15,8 +15,12 @@
 
 
 def limits(amount: int, dims: int, reserved: int = 0) -> Limits:
-    rows = [Limit(amount, 0, reserved), Limit(amount * 1000, amount * 64_000),
-            Limit(amount * 1800), Limit(amount * 500_000)]
+    rows = [
+        Limit(amount, 0, reserved),
+        Limit(amount * 1000, amount * 64_000),
+        Limit(amount * 1800),
+        Limit(amount * 500_000),
+    ]
     return tuple(row if at < dims else None for at, row in enumerate(rows))  # type: ignore[return-value]
 
 
@@ -26,13 +30,34 @@
     tree = Tree(limits(fan ** (depth - 1) * 8, dims))
     level = [tree.root]
     for height in range(depth - 2, -1, -1):
-        amount = fan ** height * 8
+        amount = fan**height * 8
         own = limits(amount, dims)
-        level = [tree.add(parent, str(n), own, own if height else NONE)
-                 for parent in level for n in range(fan)]
+        level = [
+            tree.add(parent, str(n), own, own if height else NONE) for parent in level for n in range(fan)
+        ]
     return tree, level
 
 
+def split(
+    couriers: int, load: float, uneven: float, seconds: int = 600, limit: int = 40
+) -> tuple[float, float]:
+    """Share of messages that are refused: by one central limit, and by equal parts of it at couriers that
+    can't talk. `load`: what comes, as a share of the limit; `uneven`: the part that one courier gets."""
+    chance, at = random.Random(1), 0.0
+    whole = [Tree((Limit(limit, 2 * limit), None, None, None))]
+    parts = [
+        Tree((Limit(limit // couriers, 2 * limit // couriers), None, None, None)) for _ in range(couriers)
+    ]
+    refused, count = [0, 0], 0
+    while at < seconds:
+        at += chance.expovariate(limit * load)
+        one = 0 if chance.random() < uneven else chance.randrange(1, couriers)
+        for n, tree in enumerate((whole[0], parts[one])):
+            refused[n] += not isinstance(tree.admit(tree.root, 0, int(at * 1e6)), Passed)
+        count += 1
+    return refused[0] / count, refused[1] / count
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--nodes", type=int, default=10_000)
@@ -49,13 +74,23 @@
         costs = []
         passed = 0
         for first in range(0, args.messages, args.messages // 10):
-            part = asked[first:first + args.messages // 10]
+            part = asked[first : first + args.messages // 10]
             began = time.process_time()
             passed += sum(isinstance(tree.admit(*row), Passed) for row in part)
             costs.append((time.process_time() - began) / len(part) * 1e6)
-        print(f"{tree.size} nodes, depth {args.depth}, {dims} dimensions: {statistics.median(costs):.1f} us "
-              f"a message (best {min(costs):.1f}), {size:.0f} bytes a node, "
-              f"{passed / args.messages:.0%} passed")
+        print(
+            f"{tree.size} nodes, depth {args.depth}, {dims} dimensions: {statistics.median(costs):.1f} us "
+            f"a message (best {min(costs):.1f}), {size:.0f} bytes a node, "
+            f"{passed / args.messages:.0%} passed"
+        )
+
+    for load in (0.5, 0.9):
+        for uneven in (0.25, 0.4):
+            central, equal = split(4, load, uneven)
+            print(
+                f"four couriers, {load:.0%} of the limit, {uneven:.0%} at one: {central:.3f} refused by "
+                f"a central limit, {equal:.3f} by equal parts"
+            )
 
 
 if __name__ == "__main__":
