One way to dial for HTTP and Kafka; one way to start a courier beside a test

Need: connecting and the look at an idle connection stood twice (http.py, kafka/partner.py), the start of a courier from a rendered file four times in the tests. Change: transport/dialing.py; loopback.beside. Error codes that nobody gives and a parameter that nobody read are gone.

--- a/bench/quota_flood.py
+++ b/bench/quota_flood.py
@@ -13,19 +13,14 @@
 import tempfile
 import time
 from collections import defaultdict
-from dataclasses import replace
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).parents[1] / "tests"))
 
-from loopback import Client  # noqa: E402
+from loopback import Client, beside  # noqa: E402
 
 from madderbeam.config.check import check  # noqa: E402
-from madderbeam.config.platform import load_sidecar  # noqa: E402
 from madderbeam.config.render import render, write  # noqa: E402
-from madderbeam.host.sidecar import guard  # noqa: E402
-from madderbeam.host.turn import Host  # noqa: E402
-from madderbeam.ports.real import RealDisk, real_ports  # noqa: E402
 from madderbeam.standins.partner import Partner  # noqa: E402
 
 RATE, FLOOD, TENANTS, WANTED_S = 5.0, 20, ("choir", "band", "strings", "brass"), 1.0
@@ -116,10 +111,8 @@
         report = check(folder / "estate.toml")
         assert report.loaded, report.problems
         write(render(report.loaded), folder / "out")
-        config = replace(load_sidecar(str(folder / "out" / "n.json"), RealDisk()), listen=("127.0.0.1", 0))
         loop = asyncio.get_running_loop()
-        ports, lock = guard(config, real_ports(loop))
-        host = Host(loop, ports, config)
+        host, lock = beside(folder / "out" / "n.json")
         port = host.start()
         await asyncio.gather(
             *(
--- a/madderbeam/host/kafka.py
+++ b/madderbeam/host/kafka.py
@@ -7,6 +7,7 @@
 import json
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from madderbeam.config.platform import Config, Kafka
@@ -64,7 +65,7 @@
         """The port; OSError if it can't be had."""
         port = self.server.listen(*self.kafka.listen)
         if not self.front.setup.port:
-            object.__setattr__(self.front.setup, "port", port)
+            self.front.setup = replace(self.front.setup, port=port)
         return port
 
     # Finals
--- a/madderbeam/simulation/quotas.py
+++ b/madderbeam/simulation/quotas.py
@@ -18,7 +18,7 @@
 HOUR_US = 3_600_000_000
 
 
-def tree(tenants: list[str], classes: list[str], couriers: int, rate: float, seed: int) -> dict[str, Any]:
+def tree(tenants: list[str], couriers: int, rate: float, seed: int) -> dict[str, Any]:
     """Two organisations; each ensemble has a share, of which the last class has a part reserved."""
     chance = random.Random(f"quota {seed}")
     nodes: list[dict[str, Any]] = []
@@ -32,8 +32,9 @@
             part, each = max(1, amount // (len(own) + 1)), hour // (len(own) + 1)
             share = {"messages_per_s": part, "burst_messages": part, "messages_per_h": each}
             kept = {"messages_per_s": part // 2, "messages_per_h": each // 2}
-            nodes.append({"name": tenant, "parent": f"org-{n}", "share": share, "reserved": kept,
-                          "tenants": [tenant]})
+            nodes.append(
+                {"name": tenant, "parent": f"org-{n}", "share": share, "reserved": kept, "tenants": [tenant]}
+            )
     return {"form": 1, "couriers": couriers, "nodes": nodes}
 
 
--- a/madderbeam/simulation/world.py
+++ b/madderbeam/simulation/world.py
@@ -46,7 +46,7 @@
         self.machines = [Machine(self, n) for n in range(script.couriers)]
         self.clients = Clients(self, self.machines)
         if self.script.quota:
-            self.quota = tree([t["name"] for t in self.raw_settings["tenants"]], [], self.script.couriers,
+            self.quota = tree([t["name"] for t in self.raw_settings["tenants"]], self.script.couriers,
                               self.script.rate_per_s / self.script.couriers / 2, self.script.seed)
             self.checker.meter = Meter(self.quota, self.checker,
                                        lambda m: self.clients.holders[m.id].tenant).taken
--- a/madderbeam/transport/http.py
+++ b/madderbeam/transport/http.py
@@ -8,14 +8,13 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import errno
-import socket
 from collections.abc import Callable, Sequence
 
 import httptools
 
 from madderbeam.ports import Address, Network, Socket
+from madderbeam.transport.dialing import Dialed
 from madderbeam.transport.descriptors import NO_FILES
 from madderbeam.transport.reading import NOTHING, read
 
@@ -130,19 +129,18 @@
     """Nobody wants to hear of it."""
 
 
-class Connection:
+class Connection(Dialed):
     """Carries one exchange at a time. One that is closed refers to nothing that refers to it: a courier that
     runs for days must not wait for the collector, and the request that it carried is let go with it."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, network: Network, address: Address,
                  sock: Socket | None = None) -> None:
         """`sock`: one that is connected, or about to be, in place of a new one."""
-        self.loop, self.network, self.address = loop, network, address
+        super().__init__(loop, network, address, sock)  # OSError: see LOCAL_ERRORS
         self.answer: Answer | None = None
         self.on_close: Callable[[], None] = nothing
-        self.closed = self.connected = self.reading = False
+        self.reading = False
         self._out, self._sent = b"", 0
-        self.sock = sock or network.stream(address)  # OSError: see LOCAL_ERRORS
 
     @property
     def exchange(self) -> Exchange | None:
@@ -152,34 +150,6 @@
     def written(self) -> bool:
         return self._sent == len(self._out)
 
-    def connect(self, done: Callable[[OSError | None], None]) -> None:
-        """Call `done` once, from the loop, with what stood in the way."""
-        code = self.sock.connect_ex(self.address)
-        if code not in (0, errno.EINPROGRESS):
-            self.loop.call_soon(self._connected, done, code)
-            return
-        self.connecting(done)
-
-    def connecting(self, done: Callable[[OSError | None], None]) -> None:
-        """As connect, of a socket that is about it already."""
-        self.network.on_writable(self.sock, self._connected, done, None)
-
-    def _connected(self, done: Callable[[OSError | None], None], code: int | None) -> None:
-        if self.closed:
-            return
-        self.network.off_writable(self.sock)
-        if code is None:
-            code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            self.close()
-            done(OSError(code, "connect"))
-            return
-        with contextlib.suppress(OSError):
-            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.connected = True
-        self.network.on_readable(self.sock, self._readable)
-        done(None)
-
     @property
     def midway(self) -> bool:
         """A part of the answer has come, or nothing is asked yet though it is connected."""
@@ -198,16 +168,6 @@
         if rest:
             self._write()
 
-    def stale(self) -> bool:
-        """Whether the other side has ended this idle connection; what is unread counts as well."""
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return self.closed
-        except OSError:
-            return True
-        return True
-
     def request(self, method: str, target: str, headers: Headers, body: bytes, exchange: Exchange) -> None:
         """Send one; what comes from clients into its headers was checked to be printable when it came."""
         self.answer = Answer(exchange)
--- a/madderbeam/transport/kafka/partner.py
+++ b/madderbeam/transport/kafka/partner.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from madderbeam.ports import Address, Network, Socket
+from madderbeam.transport.dialing import Dialed
 from madderbeam.transport.http import Exchange, Headers, nothing
 from madderbeam.transport.kafka import schemas
 from madderbeam.transport.kafka.codec import Malformed, Reader, Writer, decode, encode
@@ -30,40 +31,16 @@
 MOST_PARTITIONS = 10_000
 
 
-class Link:
+class Link(Dialed):
     """One TCP connection to one node: requests in their order, answers by their numbers."""
 
     def __init__(self, loop: Any, network: Network, address: Address, lost: Callable[[], None]) -> None:
         """OSError if there is no socket. `lost`: it broke, ended, or what came can't be read."""
-        self.loop, self.network, self.address, self.lost = loop, network, address, lost
-        self.sock: Socket = network.stream(address)
+        super().__init__(loop, network, address)
+        self.lost = lost
         self.reader, self.out, self.number = FrameReader(), b"", 0
         self.waiting: tuple[int, Api, int, Callable[[dict[str, Any]], None]] | None = None
         self.written: Callable[[], None] = nothing
-        self.closed = self.connected = False
-
-    def connect(self, done: Callable[[OSError | None], None]) -> None:
-        code = self.sock.connect_ex(self.address)
-        if code not in (0, errno.EINPROGRESS):
-            self.loop.call_soon(self._connected, done, code)
-        else:
-            self.network.on_writable(self.sock, self._connected, done, None)
-
-    def _connected(self, done: Callable[[OSError | None], None], code: int | None) -> None:
-        import socket
-
-        if self.closed:
-            return
-        self.network.off_writable(self.sock)
-        if code is None:
-            code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            self.close()
-            done(OSError(code, "connect"))
-            return
-        self.connected = True
-        self.network.on_readable(self.sock, self.readable)
-        done(None)
 
     def ask(self, api: Api, version: int, values: dict[str, Any], told: Callable[[dict[str, Any]], None],
             written: Callable[[], None] = nothing) -> None:
@@ -96,7 +73,7 @@
             written, self.written = self.written, nothing
             written()
 
-    def readable(self) -> None:
+    def _readable(self) -> None:
         if self.closed or not self.connected:
             return
         try:
@@ -116,6 +93,10 @@
         except (Malformed, FramingError):
             self._lose()
 
+    def look(self) -> None:
+        """Read what has come by now, if anything has."""
+        self._readable()
+
     def _answer(self, frame: bytes) -> None:
         if self.waiting is None:
             raise Malformed("an answer that nobody asked for")
@@ -129,18 +110,6 @@
         self.waiting = None
         told(values)
 
-    def stale(self) -> bool:
-        """Whether the other side has ended it; what is unread counts as well."""
-        import socket
-
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return self.closed
-        except OSError:
-            return True
-        return True
-
     def _lose(self) -> None:
         if not self.closed:
             self.close()
@@ -306,7 +275,7 @@
     def look(self) -> None:
         """Read what has come by now, if anything has."""
         for link in list(self.links.values()):
-            link.readable()
+            link.look()
 
     def _gone(self, link: Link) -> None:
         """One of its links has ended. The message goes on if another one carries it."""
--- a/madderbeam/transport/kafka/schemas.py
+++ b/madderbeam/transport/kafka/schemas.py
@@ -175,14 +175,12 @@
 
 
 class Code:
-    """Error codes of the protocol that are given or met here."""
+    """Error codes of the protocol that the front gives; `outcomes` has those that it meets."""
 
     NONE = 0
     OFFSET_OUT_OF_RANGE = 1
     CORRUPT_MESSAGE = 2
     UNKNOWN_TOPIC_OR_PARTITION = 3
-    NOT_LEADER_OR_FOLLOWER = 6
-    REQUEST_TIMED_OUT = 7
     MESSAGE_TOO_LARGE = 10
     NOT_ENOUGH_REPLICAS = 19
     INVALID_REQUIRED_ACKS = 21
@@ -201,8 +199,6 @@
     INVALID_PRODUCER_EPOCH = 47
     TRANSACTIONAL_ID_AUTHORIZATION_FAILED = 53
     SASL_AUTHENTICATION_FAILED = 58
-    UNKNOWN_PRODUCER_ID = 59
     UNSUPPORTED_COMPRESSION_TYPE = 76
     MEMBER_ID_REQUIRED = 79
     INVALID_RECORD = 87
-    THROTTLING_QUOTA_EXCEEDED = 89
--- a/tests/kafka/brokers.py
+++ b/tests/kafka/brokers.py
@@ -2,16 +2,11 @@
 
 import asyncio
 import json
-from dataclasses import replace
 
-from loopback import Endpoint
+from loopback import Endpoint, beside
 
 from madderbeam.config.check import check
-from madderbeam.config.platform import load_sidecar
 from madderbeam.config.render import render, write
-from madderbeam.host.sidecar import guard
-from madderbeam.host.turn import Host
-from madderbeam.ports.real import RealDisk, real_ports
 
 ESTATE = """\
 [classes.notice]
@@ -73,15 +68,7 @@
         )
 
     async def start(self):
-        config = load_sidecar(str(self.folder / "out" / "n.json"), RealDisk())
-        config = replace(
-            config,
-            listen=("127.0.0.1", 0),
-            kafka=replace(config.kafka, listen=("127.0.0.2", 0), advertised=("127.0.0.2", 0)),
-        )
-        loop = asyncio.get_running_loop()
-        ports, self.lock = guard(config, real_ports(loop))
-        self.host = Host(loop, ports, config)
+        self.host, self.lock = beside(self.folder / "out" / "n.json")
         self.host.start()
         self.address = f"127.0.0.2:{self.host.kafka.front.setup.port}"
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -12,8 +12,10 @@
 import socket
 import struct
 import sys
+from dataclasses import replace
 
-from madderbeam.config.platform import load
+from madderbeam.config.platform import load, load_sidecar
+from madderbeam.host.sidecar import guard
 from madderbeam.host.turn import Host
 from madderbeam.ports.real import RealDisk, real_ports
 
@@ -231,6 +233,17 @@
     return {name: int(value) for name, value in (line.split("=") for line in text.splitlines())}
 
 
+def beside(path, **changes):
+    """A courier from a rendered file, in this process, on free ports: the host, not started, and its lock."""
+    loop = asyncio.get_running_loop()
+    config = replace(load_sidecar(str(path), RealDisk()), listen=("127.0.0.1", 0))
+    if config.kafka is not None:  # an address of its own, since the guard holds the first by its name
+        own = ("127.0.0.2", 0)
+        config = replace(config, kafka=replace(config.kafka, listen=own, advertised=own))
+    ports, lock = guard(config, real_ports(loop))
+    return Host(loop, ports, config), lock
+
+
 class Fleet:
     """Endpoints and discovery, with the courier either in this process or in one of its own."""
 
--- a/tests/routing/test_pooled_courier.py
+++ b/tests/routing/test_pooled_courier.py
@@ -4,18 +4,13 @@
 import asyncio
 import json
 import os
-from dataclasses import replace
 
 import oracle
 import pytest
-from loopback import Client, Endpoint, answer, bounded
+from loopback import Client, Endpoint, answer, beside, bounded
 
 from madderbeam.config.check import check
-from madderbeam.config.platform import load_sidecar
 from madderbeam.config.render import render, write
-from madderbeam.host.sidecar import guard
-from madderbeam.host.turn import Host
-from madderbeam.ports.real import RealDisk, real_ports
 
 ESTATE = """\
 [classes.safe]
@@ -73,10 +68,7 @@
 
     async def start(self, partners):
         self.write(partners)
-        path = self.folder / "out" / "n.json"
-        config = replace(load_sidecar(str(path), RealDisk()), listen=("127.0.0.1", 0))
-        ports, self.lock = guard(config, real_ports(asyncio.get_running_loop()))
-        self.host = Host(asyncio.get_running_loop(), ports, config)
+        self.host, self.lock = beside(self.folder / "out" / "n.json")
         return await Client().open(self.host.start())
 
     async def close(self):
