What a restart finds taken on and untried is tried, and is no newcomer at the door

Need: a restored message went through _arrived as if it stood at the door (found by reading).

Change: MessageArrived says that it was taken on before this process (restored), and all three heed that one fact. What was tried before counts as taken on; what was not is neither shed nor handed back for room. Its end at its time is owed as before.

Tests: three, each fails with messages.py as it was.

--- a/madderbeam/host/admission.py
+++ b/madderbeam/host/admission.py
@@ -107,16 +107,17 @@
             raise BadRequest("dest: no such destination")
         return cls, tenant
 
-    def arrival(self, m: Held, weight: float = 1.0) -> i.MessageArrived:
-        """The event that tells the decision module of a message, also of one restored. `weight`: by
-        quotas."""
+    def arrival(self, m: Held, weight: float = 1.0, restored: bool = False) -> i.MessageArrived:
+        """The event that tells the decision module of a message. `weight`: by quotas; `restored`: it was
+        taken on before this process."""
         ran = m.may_have_run_at
         mono = self.journal.wall.monotonic
         # After a reboot an attempt may lie before the monotonic clock's zero: a negative time would say that
         # none may have run, and a deposit would go out again.
         ran_at = max(0, mono(ran)) if ran else -1
         return i.MessageArrived(m.number, m.cls, m.dest, mono(m.until), m.tenant, m.order,
-                                m.resubmitted, m.tries, ran_at, weight, self.routing.affinity(m))
+                                m.resubmitted, restored, m.tries, ran_at, weight,
+                                self.routing.affinity(m))
 
     def _replace(self, m: Held) -> None:
         """A key that is still open here is handed in again only by a client that gave the older one up."""
--- a/madderbeam/host/turn.py
+++ b/madderbeam/host/turn.py
@@ -128,7 +128,7 @@
             self.ends.notify(m)
             return
         if not any(claims(m) for claims in self.claims):
-            self.events.append(self.admission.arrival(m))
+            self.events.append(self.admission.arrival(m, restored=True))
         self.ends.guard(m)
 
     # The turn
--- a/madderbeam/policy/interface.py
+++ b/madderbeam/policy/interface.py
@@ -206,6 +206,7 @@
     order_key: int = 0
     resubmitted: bool = False
     # Of a message restored after a restart, or whose key is known from an earlier one:
+    restored: bool = False  # taken on before this process: what was not tried yet is to be tried
     tries: int = 0  # attempts so far
     ran_at_us: int = -1  # when the first attempt that may have run was sent
     weight: float = 1.0  # of its worth, against the others held
--- a/madderbeam/policy/messages.py
+++ b/madderbeam/policy/messages.py
@@ -180,7 +180,7 @@
         if m.key:
             self.keys.setdefault(m.key, []).append(m)
         heapq.heappush(self.expiries, (m.until - self.margin, m.id))
-        if self._spent(m) or self.thin and self.random.random() < self._refusal(dest):
+        if self._spent(m) or self.thin and not m.restored and self.random.random() < self._refusal(dest):
             self._finish(m, self.come_back_us())
         elif self.thin:
             self._shed(dest)
@@ -207,14 +207,15 @@
 
     def _shed(self, dest: Destination) -> None:
         """Refuse at the door what would wait for its pace over a part of its life; the worthiest stay. What
-        was taken on is worth more than what comes, and goes back at once where all its time is too short."""
+        was taken on is worth more, and goes back where all its time is too short, unless it was restored."""
         pace = sum(lane.rate for lane in dest.lanes)
         if not pace or not all(lane.rate for lane in dest.lanes):
             return
         ahead = 1 - sum(self.health.fill(lane) for lane in dest.lanes)
-        new = {m: m.ready_at == self.now and not m.tries for m in dest.queue}  # not answered yet
+        new = {m: m.ready_at == self.now and not m.tries and not m.restored for m in dest.queue}
         for m in sorted(dest.queue, key=lambda m: (-m.weight * (1 if new[m] else KEPT), m.seq)):
-            if ahead / pace * 1e6 > (PATIENCE if new[m] else 1) * (m.until - self.now):
+            late = ahead / pace * 1e6 > (PATIENCE if new[m] else 1) * (m.until - self.now)
+            if late and (m.tries or not m.restored):  # what a restart found untried is tried
                 self._finish(m, self.come_back_us())
             else:
                 ahead += 1
@@ -324,10 +325,9 @@
         self._close(m)
 
     def _close(self, m: Message) -> None:
-        if not m.closed:
-            m.closed = True
-            if m in m.dest.queue:
-                m.dest.queue.remove(m)
+        m.closed = True
+        if m in m.dest.queue:
+            m.dest.queue.remove(m)
         if not m.out:
             self.messages.pop(m.id, None)
             if m.key and m in self.keys.get(m.key, ()):
@@ -347,10 +347,10 @@
     def _make_room(self) -> None:
         """Hand back what waits for one in trouble before it keeps out what could be sent at once."""
         while len(self.messages) > max(1, self.s.max_held - ROOM):
-            dest = max(self.dests.values(), key=lambda d: len(d.queue))
-            if len(dest.queue) < 2:
+            queues = ([m for m in d.queue if m.tries or not m.restored] for d in self.dests.values())
+            if len(spare := max(queues, key=len)) < 2:
                 return
-            self._finish(min(dest.queue, key=lambda m: (m.ran_at >= 0, self._value(m, self.now), -m.seq)), 0)
+            self._finish(min(spare, key=lambda m: (m.ran_at >= 0, self._value(m, self.now), -m.seq)), 0)
 
     # The gate and the choice
 
@@ -438,8 +438,7 @@
         if not free:
             return None
         rate = sum(lane.rate or lane.seen or 1.0 for lane in dest.lanes)
-        mean = max(lane.mean for lane in dest.lanes)
-        soon = self.now + mean
+        soon = self.now + max(lane.mean for lane in dest.lanes)
         # Where slots are short, what waits for them waits for all calls queued, and one that holds its slot
         # long costs others theirs: hung and slow lanes get what is left (they had eaten all slots).
         hold = max(lane.hold for lane in dest.lanes)
--- a/madderbeam/policy/state.py
+++ b/madderbeam/policy/state.py
@@ -17,7 +17,7 @@
         self.ran_at, self.ran_zone = event.ran_at_us, 0  # when and where the first that may have run was sent
         self.ready_at = now
         self.last: Endpoint | None = None
-        self.affinity = event.affinity
+        self.affinity, self.restored = event.affinity, event.restored
         self.tried: tuple[int, ...] = ()  # endpoints, where a preference is told
         self.closed = self.streaming = self.quick = False
         self.weight = 1.0
--- /dev/null
+++ b/tests/test_restored.py
@@ -0,0 +1,50 @@
+"""What a restart finds taken on and untried is tried: it does not stand at the door a second time."""
+
+from test_fleet import fleet
+from test_messages import S, Host, of
+
+from madderbeam.policy.interface import (
+    EndpointsListed, EndpointState, ListEntry, ListForm, MessageArrived, Refuse, Result, Send)
+
+
+def restored(h, count, life=8 * S, dest=1, tries=0):
+    """So many were taken on by the process before; the actions of the turn, and the messages."""
+    first = h.next + 1
+    h.next += count
+    numbers = list(range(first, h.next + 1))
+    return h.do(*(MessageArrived(n, 0, dest, h.now + life, restored=True, tries=tries) for n in numbers),
+                after=5000), numbers
+
+
+def test_a_share_by_chance_is_not_refused_of_what_a_restart_found():
+    h = fleet()  # no rate is listed
+    for _ in range(6):
+        for a in of(Send, h.arrive(after=3 * S)):
+            h.end(a.message, Result.FULL)
+    assert h.courier._refusal(h.courier.dests[1]) > 0.5
+    for tries in (0, 1):
+        acts, _ = restored(h, 20, tries=tries)
+        assert not of(Refuse, acts)
+
+
+def test_what_waits_for_its_pace_is_not_refused_at_the_door_if_a_restart_found_it():
+    h = fleet(rate=5.0)  # a part of 0.05 a second: the next call in up to 20 s
+    h.arrive()
+    h.end(h.next, Result.FULL)
+    acts, numbers = restored(h, 5, life=4 * S)
+    assert not of(Refuse, acts)
+    acts = h.arrive(life=4 * S, after=50_000)  # as one that comes is
+    assert [a.message for a in of(Refuse, acts)] == [h.next]
+    assert not {a.message for a in of(Refuse, h.idle(3.5))} & set(numbers)
+    ends = {a.message for a in of(Refuse, h.idle(1))}  # its time is up: its end is owed all the same
+    assert ends == set(numbers)
+
+
+def test_room_is_not_made_by_handing_back_what_a_restart_found_untried():
+    h = Host(max_held=10)
+    h.do(EndpointsListed(ListForm.DELTA, (ListEntry(100, 1, EndpointState.DRAINING),)))
+    acts, numbers = restored(h, 10)
+    assert not of(Refuse, acts)
+    tried, _ = restored(h, 3, tries=1)  # these had their chance
+    assert {a.message for a in of(Refuse, tried)} <= set(range(h.next - 2, h.next + 1))
+    assert set(numbers) <= set(h.courier.messages)
