Answers that have come and are unread at the end of a restart are read and recorded

Need: _leave looked at clients only. An endpoint's answer that had come and was not read yet was thrown away by calls.close(): its delivery became "may have run", so an unsafe message ended undelivered though it had run, a safe one ran again, and a told refusal was lost (by reading).

Change: Calls.look reads what has come of all calls out (the seam in transport/calls.py); _leave looks at calls with its fronts, in the same rounds, so that also an answer that comes while the last records are written slowly is recorded.

Tests: endpoints on plain sockets that answer before the last timer's call, and amid the write of the last record; both fail without the change.

--- a/madderbeam/host/turn.py
+++ b/madderbeam/host/turn.py
@@ -302,9 +302,9 @@
 
     def _leave(self) -> None:
         """The time is up: whoever has sent a request hears what became of it, also where records are written
-        slowly and more come meanwhile. SIGKILL may come amid it."""
+        slowly and more come meanwhile, and what endpoints have answered counts. SIGKILL may come amid it."""
         for _ in range(MOST_TURNS):
-            came = any([front.look() for front in self.fronts])
+            came = any([self.calls.look(), *(front.look() for front in self.fronts)])
             self.rest()
             if not came:
                 break
--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -294,6 +294,14 @@
         for call in list(self.out):
             call.abandon()
 
+    def look(self) -> bool:
+        """Read what has come by now of answers, before connections are closed; whether a call is over."""
+        out = len(self.out)
+        for call in list(self.out):
+            if call.connection is not None:
+                call.connection.look()
+        return len(self.out) < out
+
     def spare(self) -> bool:
         """Close an idle connection, of the fullest pool; whether there was one."""
         pools = [pool for pool in self.pools.values() if pool.idle]
--- /dev/null
+++ b/tests/test_last_answers.py
@@ -0,0 +1,88 @@
+"""A planned restart: what endpoints have answered by the end is read and recorded, not thrown away unread."""
+
+import asyncio
+import socket
+
+from loopback import answer, bounded, courier
+
+from madderbeam.ports.real import RealFile
+
+
+class Plain:
+    """An endpoint that answers when it is told to: the bytes have come before the courier does anything."""
+
+    def __init__(self, fleet, uid, dest):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+        fleet.discovery.target(uid, self.listener.getsockname()[1], dest)
+        self.sock = None
+
+    async def call(self):
+        """One has come, whole: its bodies are short."""
+        loop = asyncio.get_running_loop()
+        self.sock, _ = await bounded(loop.sock_accept(self.listener))
+        self.sock.setblocking(False)
+        data = b""
+        while not data.endswith(b"hello"):
+            data += await bounded(loop.sock_recv(self.sock, 10_000))
+
+    def answer(self, data):
+        assert self.sock.send(data) == len(data)
+
+    def close(self):
+        for sock in (self.listener, self.sock):
+            sock.close()
+
+
+async def calls_out(fleet, count):
+    """A courier with so many unsafe messages out, each at an endpoint of its own, at the end of a restart."""
+    endpoints = [Plain(fleet, f"e{n}", 10 + n) for n in range(count)]
+    client = await fleet.inside()
+    for n, endpoint in enumerate(endpoints):
+        assert await client.put(f"m{n}", kind="unsafe", dest=10 + n) == "+OK"
+        await endpoint.call()
+    fleet.host.terminate()
+    fleet.host.clients.last_call()
+    return endpoints
+
+
+def states(fleet):
+    return {m.id: m.state for m in fleet.host.journal.held.values()}
+
+
+@courier
+async def test_answers_that_have_come_and_are_unread_at_the_end_are_recorded(fleet):
+    # One line of 200 is a delivery whatever follows; one that was turned away has never run.
+    texts = [answer(200), b"HTTP/1.1 200 OK\r\n", answer(429), answer(500), answer(200)[:8]]
+    endpoints = await calls_out(fleet, len(texts))
+    for endpoint, text in zip(endpoints, texts, strict=True):
+        endpoint.answer(text)
+    fleet.host._leave()  # what SIGTERM's last timer calls
+    fleet.host.close()
+    assert states(fleet) == {"m2": "ended", "m3": "ended", "m4": "trying"}
+    assert {m.id: m.status for m in fleet.host.journal.held.values() if m.status} == {
+        "m2": "deferred", "m3": "undeliverable"}
+    for endpoint in endpoints:
+        endpoint.close()
+
+
+def test_an_answer_that_comes_while_the_last_records_are_written_is_recorded(tmp_path, monkeypatch):
+    async def test(fleet):
+        endpoints = await calls_out(fleet, 2)
+        late = endpoints[1:]
+        append = RealFile.append
+
+        def written(file, data):
+            """While the disk takes its time, the other answer comes."""
+            while late:
+                late.pop().answer(answer(200))
+            return append(file, data)
+
+        monkeypatch.setattr(RealFile, "append", written)
+        endpoints[0].answer(answer(200))
+        fleet.host._leave()
+        fleet.host.close()
+        assert not late and states(fleet) == {}
+        for endpoint in endpoints:
+            endpoint.close()
+    courier(test)(tmp_path)
