--- /dev/null
+++ b/tests/test_signals.py
@@ -0,0 +1,110 @@
+"""Signals that come close together, or before the courier has begun its work."""
+
+import asyncio
+import json
+import signal
+
+import pytest
+from loopback import Client, Discovery, bounded, courier
+
+
+class Silent(Discovery):
+    """An agent with nothing to tell while discovery is down; it takes notices all the same."""
+
+    async def serve(self, reader, writer):
+        head = await reader.readuntil(b"\r\n")
+        if b"/discovery" in head:
+            await reader.read()
+            return
+        replay = asyncio.StreamReader()
+        replay.feed_data(head)
+
+        async def copy():
+            while data := await reader.read(10_000):
+                replay.feed_data(data)
+            replay.feed_eof()
+        task = asyncio.create_task(copy())
+        try:
+            await super().serve(replay, writer)
+        finally:
+            task.cancel()
+
+
+async def restored(fleet):
+    """An endpoint, and a courier that has one message taken on, untried, whose process is to start."""
+    endpoint = await fleet.endpoint("a", dest=5)
+    fleet.discovery.targets["a"]["state"] = "terminating"
+    client = await fleet.inside()
+    assert await client.put("held", dest=5) == "+OK"
+    fleet.host.close()
+    fleet.discovery.targets["a"]["state"] = "in_service"
+    targets = fleet.discovery.targets
+    await fleet.discovery.stop()
+    fleet.discovery = await Silent().start()
+    fleet.discovery.targets = targets
+    return endpoint
+
+
+@courier
+async def test_sigterm_before_work_has_begun_serves_who_waits_and_what_was_restored(fleet):
+    endpoint = await restored(fleet)
+    client = await fleet.inside()
+    host = fleet.host
+    assert host.first is not None  # it waits for the list
+    host.terminate()
+    host.terminate()
+    assert await client.put("came", dest=5) == "+OK"
+    assert {(await endpoint.call())[1]["x-request-id"] for _ in range(2)} == {"held", "came"}
+    await bounded(host.closed)  # nothing is left, its clients are let go: no need to wait for the last timer
+    assert not host.journal.held and await bounded(client.reader.read()) == b""
+
+
+@courier
+async def test_sigterm_again_and_again_ends_the_process_once_and_in_order(fleet):
+    endpoint = await fleet.endpoint("a", "hold")
+    client = await fleet.outside()
+    assert await client.put("m1") == "+OK"
+    await endpoint.call()
+    for _ in range(5):
+        fleet.process.send_signal(signal.SIGTERM)
+        late = await Client().open(fleet.port)
+        assert await late.send(Client.command(b"PING")) == "+PONG"
+    endpoint.release.set()
+    assert await bounded(fleet.process.wait()) == 0
+    await fleet.outside()
+    assert await (await Client().open(fleet.port)).put("m1") == "+OK"  # it was delivered: not sent again
+    assert endpoint.calls.empty()
+
+
+@pytest.mark.parametrize("order", [(signal.SIGHUP, signal.SIGTERM), (signal.SIGTERM, signal.SIGHUP)])
+def test_a_move_of_discovery_right_at_sigterm_takes_the_notices_along(tmp_path, order):
+    async def test(fleet):
+        client = await fleet.outside()
+        assert await client.put("first", life=300, dest=99) == "+OK"
+        assert (await fleet.discovery.final())["id"] == "first"  # a connection to the old address is kept
+        moved = await Discovery().start()
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps({**json.loads(path.read_text()),
+                                    "discovery": f"127.0.0.1:{moved.port}"}))
+        assert await client.put("late", life=300, dest=99) == "+OK"
+        for number in order:
+            fleet.process.send_signal(number)
+        assert (await moved.final())["id"] == "late"
+        assert await bounded(fleet.process.wait()) == 0
+        assert fleet.discovery.finals.empty()
+        await moved.stop()
+    courier(test)(tmp_path)
+
+
+@courier
+async def test_sigterm_right_behind_an_answer_keeps_what_was_taken_on(fleet):
+    fleet.discovery.target("z", 9, 5, state="terminating")
+    client = await fleet.outside()
+    client.writer.write(Client.message("m1", dest=5))
+    assert await client.line() == "+OK"
+    fleet.process.send_signal(signal.SIGTERM)
+    assert await bounded(client.reader.read()) == b""
+    await bounded(fleet.process.wait())
+    endpoint = await fleet.endpoint("a", dest=5)
+    await fleet.outside()
+    assert (await endpoint.call())[1]["x-request-id"] == "m1"
