--- a/tests/simulation/test_killed_anywhere.py
+++ b/tests/simulation/test_killed_anywhere.py
@@ -1,4 +1,4 @@
-"""SIGKILL at each operation on disk or network in a row: between record, +OK, attempt, answer, final, notice."""
+"""SIGKILL at each operation on disk or network in a row: between record, +OK, attempt, answer and notice."""
 
 from collections import Counter
 
--- /dev/null
+++ b/tests/test_full_restart.py
@@ -0,0 +1,72 @@
+"""A restart with a journal that is full: ready about as soon as with an empty one, overdue notices in time."""
+
+import time
+
+import pytest
+from loopback import bounded, courier, settings
+
+from madderbeam.journal.message import Held
+from madderbeam.journal.store import Journal
+from madderbeam.ports.real import RealClock, RealDisk
+
+NOTICES_S = 1.5  # from when a restarted courier is ready until none is overdue
+RATIO = 3  # of the times that two starts take, on a machine that does other things beside
+MOST = 20_000
+
+
+def fill(fleet, size, left_s):
+    """Take messages on for as long as there is room; how many."""
+    journal = Journal(RealDisk(), RealClock(), str(fleet.folder / "state"), 3_000_000, 9.0)
+    for n in range(1, MOST):
+        m = Held(n, f"{n:016x}", n % 3, 0, 99, f"{n:016x}" if n % 3 == 1 else "", journal.wall() + left_s,
+                 False, b"x" * size)
+        try:
+            journal.take(m)
+        except OSError:
+            break
+    count = len(journal.held)
+    journal.close()
+    return count
+
+
+async def started(fleet):
+    """Seconds until it is ready."""
+    began = time.monotonic()
+    await fleet.outside()
+    return time.monotonic() - began
+
+
+@pytest.mark.parametrize("size", [40, 4_000])
+def test_a_start_takes_about_as_long_with_a_full_journal(tmp_path, size):
+    async def test(fleet):
+        fleet.raw = settings(policyLimits__maxOpen=MOST)
+        empty = []
+        for _ in range(2):
+            empty.append(await started(fleet))
+            await fleet.kill()
+        count = fill(fleet, size, left_s=60)
+        assert count * (size + 160) > 1_000_000
+        full = []
+        for _ in range(2):
+            full.append(await started(fleet))
+            await fleet.kill()
+        assert min(full) < RATIO * max(empty)
+    courier(test)(tmp_path)
+
+
+@pytest.mark.parametrize("connection", [None, "cut off"])
+def test_many_notices_that_fell_due_while_it_was_down_come_in_time(tmp_path, connection):
+    async def test(fleet):
+        fleet.raw = settings(policyLimits__maxOpen=MOST)
+        count = fill(fleet, 40, left_s=0.0)
+        assert count > 5_000
+        if connection:
+            fleet.discovery.notice_status = [500, 500]  # answered and closed: it goes on a new one
+        await fleet.outside()
+        ready, ids = time.monotonic(), set()
+        while len(ids) < count:
+            status, line = await bounded(fleet.discovery.finals.get())
+            if status == 204:
+                ids.add(line["id"])
+        assert time.monotonic() - ready < NOTICES_S
+    courier(test)(tmp_path)
