A notice without an answer is sent again after 0.1 s, on a new connection, and not after 1 s

A notice written to one waited NOTICE_S of 1 s, and a connection that did not come up CONNECT_S of 1 s, while a notice is owed 300 ms after its message's time: one that ends at its time was lost.

Change: the first silence that is waited out is 0.1 s, then twice as long each time, up to 1 s, both for a connection to come up and for an answer; any word from discovery, also a refusal or a move, begins anew. Twice told does no harm.

--- a/madderbeam/transport/discovery.py
+++ b/madderbeam/transport/discovery.py
@@ -21,7 +21,9 @@
 AGAIN_S = (0.1, 1.0)  # first and longest ceiling of the wait before the next try
 BUSY_S = (2.0, 3.0)  # the same where discovery turned the watch away: all that ask again so keep it busy
 NOTICE_AGAIN_S = 0.1  # the longest for notices, which are owed 300 ms after a message's time is up
-NOTICE_S = 1.0  # a notice is answered at once: after this it is sent again
+# A notice is answered at once. Without an answer its connection has fallen silent, and it is sent again on a
+# new one: first after this, so that it comes in time all the same, then after twice as long, up to that.
+NOTICE_S = (0.1, 1.0)
 BATCH = 200  # notices in one request
 log = logging.getLogger(__name__)
 
@@ -58,6 +60,7 @@
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.backoff = Backoff(chance)
+        self.patience = CONNECT_S  # seconds for a connection to come up
         self.stopped = False
 
     def after(self, delay: float, action: Callable[[], None]) -> None:
@@ -78,7 +81,7 @@
             log.warning("discovery: %s", error)
             self.after(self.backoff.next(), self.open)
             return
-        self.after(CONNECT_S, self.open)
+        self.after(self.patience, self.open)
 
     def _connected(self, error: OSError | None) -> None:
         if error is not None:
@@ -177,6 +180,7 @@
                  chance: random.Random, accepted: Callable[[list[int]], None]) -> None:
         super().__init__(loop, network, address, chance)
         self.backoff = Backoff(chance, NOTICE_AGAIN_S)
+        self.patience = NOTICE_S[0]
         self.accepted = accepted
         self.waiting: dict[int, bytes] = {}
         self.sent: list[int] = []
@@ -196,10 +200,20 @@
     def move(self, address: Address) -> None:
         """What is unanswered goes to the new address at once: twice told does no harm."""
         super().move(address)
+        self.patience = NOTICE_S[0]
         if self.busy:
             self.open()
 
+    def open(self) -> None:
+        super().open()
+        self.patience = min(NOTICE_S[1], self.patience * 2)  # until a word comes, if a bad one
+
+    def retry(self) -> None:
+        self.patience = NOTICE_S[0]
+        super().retry()
+
     def _next(self) -> None:
+        self.patience = NOTICE_S[0]
         if not self.waiting:
             self.busy = False
             if self.timer:
@@ -216,7 +230,7 @@
         self.sent = list(self.waiting)[:self.most]
         body = b"".join(self.waiting[n] for n in self.sent)
         self.status = 0
-        self.after(NOTICE_S, self.open)
+        self.after(self.patience, self.open)
         self.connection.request("POST", "/v2/finals", [("Content-Type", "application/x-ndjson")], body, self)
 
     def head(self, status: int, headers: dict[str, str]) -> None:
