--- a/tests/test_full_restart.py
+++ b/tests/test_full_restart.py
@@ -1,4 +1,4 @@
-"""A restart with a journal that is full: ready about as soon as with an empty one, and its notices in time."""
+"""A restart with a full journal: ready about as soon as with an empty one, and all notices in time."""
 
 import time
 
