Answers count once they tell, and what was not written whole has never run

A 200 ahead of the request's last byte counted as delivered, a wait that came ahead of a broken write was never read (Connection._write), trailers changed an outcome. A cancel, a probe's time-out and the end of an answer's time did not look for an answer that lay unread. Between choice and first byte, behind a slowly written record, nothing was looked at again: an ended or spoken-to connection was written to, a drain passed by. A call given up was closed with the request still in the system's buffers, which sends it on for minutes: it would begin outside its key's window.

Now the first line is told when it is whole, early answers prove no run, all that gives a call up reads first and then resets the connection, and what holds before the record is looked at again behind it: wait, drain, connection, and the window of a key, up to the last byte of a body that is written in parts. A record whose attempt is then held back is taken back by a "miss". Ruled out: resets are told apart by the last byte written; answers without an end are given up within their time; calls have TCP_NODELAY.

--- a/madderbeam/host/attempts.py
+++ b/madderbeam/host/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable
 
 from madderbeam.host.ends import Ends
@@ -85,20 +86,34 @@
         # One that has ended while its call waited for a connection must not go out behind its notice, nor one
         # ahead of an end that the disk did not take meanwhile.
         held = [self.journal.held.get(n.number) for n in items]
-        if any(m is None or m.status or self._key_late(m) or self.ends.blocked(m) for m in held):
+        if any(m is None or m.status or self._key_s(m, m.may_have_run_at) <= 0 or self.ends.blocked(m)
+               for m in held):
             go(False)
             return
 
+        def recorded() -> None:
+            go(True)
+            for n in items:  # held back after all; a newer attempt's record would be the one meant
+                if not n.begun and self.newest(n.number) == n.attempt:
+                    self.journal.missed(n.number)
+
         def failed(error: OSError) -> None:
             log.error("journal: %s", error)
             go(False)
-        self.journal.attempt([n.number for n in items], self.journal.wall(), lambda: go(True), failed)
-
-    def _key_late(self, m: Held) -> bool:
-        """The window of its key has passed while its connection was being made."""
-        cls, ran = self.s.classes[m.cls], m.may_have_run_at
-        keyed = cls.effect is i.Effect.KEYED and ran > 0
-        return keyed and self.journal.wall() >= ran + (cls.key_window_us - self.s.tick_us) / 1e6
+        self.journal.attempt([n.number for n in items], self.journal.wall(), recorded, failed)
+
+    def _key_s(self, m: Held, ran_at: float) -> float:
+        """Seconds left of the window of its key, which an attempt began at `ran_at` that may have run."""
+        cls = self.s.classes[m.cls]
+        if cls.effect is not i.Effect.KEYED or not ran_at:
+            return math.inf
+        return ran_at + (cls.key_window_us - self.s.tick_us) / 1e6 - self.journal.wall()
+
+    def write_s(self, items: list[Item]) -> float:
+        """Seconds left in which the last byte of an attempt that is recorded may be written: one that comes
+        to the endpoint behind the window is a second effect, however early it began."""
+        held = [m for n in items if (m := self.journal.held.get(n.number))]
+        return min((self._key_s(m, m.ran_at) for m in held), default=math.inf)
 
     def ended(self, item: Item, endpoint: int, outcome: Outcome, latency: int) -> None:
         m = self.journal.held.get(item.number)
--- a/madderbeam/simulation/network.py
+++ b/madderbeam/simulation/network.py
@@ -255,7 +255,7 @@
     def getsockopt(self, level: int, option: int) -> int:
         return self.error if option == socket.SO_ERROR else 0
 
-    def setsockopt(self, level: int, option: int, value: int) -> None:
+    def setsockopt(self, level: int, option: int, value: int | bytes) -> None:
         return
 
     def getsockname(self) -> Address:
--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -7,6 +7,7 @@
 import functools
 import json
 import logging
+import math
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -65,6 +66,8 @@
     # Its attempt had ended by its time-out; now it is known to be over.
     late: Callable[[Item, Outcome], None]
     forwarded: Callable[[int], None] = lambda messages: None  # so many were written whole
+    # Seconds from now within which the last byte of these has to be written, 0 or less: they are too late.
+    write_s: Callable[[list[Item]], float] = lambda items: math.inf
 
 
 class Places(Protocol):
@@ -134,6 +137,8 @@
         self.timers: list[asyncio.TimerHandle] = []
         self.deadline = self.started
         self.bundled = len(items) > 1
+        self.write_by = math.inf  # the loop's time at which its last byte has to be written
+        self.sent = False  # its last byte was written: only then may it have run
 
     @property
     def latency_us(self) -> int:
@@ -151,6 +156,7 @@
         return self.bundled
 
     def written_whole(self) -> None:
+        self.sent = True
         self.calls.hooks.forwarded(len(self.items))
 
     def begun(self) -> None:
@@ -199,11 +205,15 @@
         self.calls.release(self)
 
     def drop(self) -> None:
-        """Give it up: what it carries may have run."""
+        """Give up what has begun to answer: its answer can't be read."""
+        self.look()
         if self in self.calls.out:
             if self.connection is not None:
-                self.connection.close()
-            self.spoilt()
+                self.connection.abort()
+            if self.sent:
+                self.spoilt()
+            else:
+                self.lost(False)
 
     def lost(self, written: bool) -> None:
         if self.path:
@@ -213,16 +223,25 @@
 
     def timed_out(self) -> None:
         """The courier stops waiting: the connection goes too, or a late answer would meet the next call."""
-        sent = self.connection is not None and self.connection.exchange is self and self.connection.written
         if self.path:
             self.calls.probe_ended(self, Result.TIMEOUT)
-        outcome = Outcome(Result.TIMEOUT if sent else Result.CONNECT_FAILED)
+        outcome = Outcome(Result.TIMEOUT if self.sent else Result.CONNECT_FAILED)
         self.abandon()
         self.finish_all(outcome)
 
+    def look(self) -> None:
+        """An answer may come in the very instant in which it is given up; a wait that it tells binds."""
+        if self.connection is not None:
+            self.connection.look()
+
+    def overdue(self) -> None:
+        """Its last byte may not be written any more."""
+        if not self.sent:
+            self.timed_out()
+
     def abandon(self) -> None:
         if self.connection is not None:
-            self.connection.close()
+            self.connection.abort()
         self.calls.release(self)
 
     def finish_all(self, outcome: Outcome) -> None:
@@ -292,7 +311,9 @@
         for endpoint in list(self.pools):
             self.close_idle(endpoint)
         for call in list(self.out):
-            call.abandon()
+            if call.connection is not None:
+                call.connection.close()  # not reset: the process that goes on with it may hold it too
+            self.release(call)
 
     def spare(self) -> bool:
         """Close an idle connection, of the fullest pool; whether there was one."""
@@ -321,7 +342,7 @@
 
     def probe(self, endpoint: int, path: str = "/alive") -> None:
         call = Call(self, endpoint, [], path)
-        call.timer(self.connect_s, call.timed_out)
+        call.timer(self.connect_s, functools.partial(self._late, call))
         self._start(call)
 
     def cancel(self, number: int, attempt: int) -> None:
@@ -329,15 +350,19 @@
         for call in list(self.out):
             item = call.items[0] if len(call.items) == 1 else None
             if item and item.number == number and item.attempt == attempt and not item.ended:
-                call.abandon()
-                call.finish(item, Outcome(Result.CANCELLED if item.begun else Result.MOOT))
-
-    def _late(self, call: Call, item: Item) -> None:
-        if call.connection is not None and not item.ended:
-            call.connection.look()  # an answer may come in the very instant; a wait that it tells binds
-        if item.ended:
+                call.look()
+                if not item.ended:
+                    outcome = Outcome(Result.CANCELLED if call.sent else Result.MOOT)
+                    call.abandon()
+                    call.finish(item, outcome)
+
+    def _late(self, call: Call, item: Item | None = None) -> None:
+        """The time of this message, or of the probe, is up."""
+        if item is None or not item.ended:
+            call.look()
+        if call not in self.out or item is not None and item.ended:
             return
-        if sum(not i.ended for i in call.items) == 1:
+        if item is None or sum(not i.ended for i in call.items) == 1:
             call.timed_out()
         else:
             call.finish(item, Outcome(Result.TIMEOUT if item.begun else Result.CONNECT_FAILED))
@@ -413,7 +438,8 @@
         return {"endpoint": call.endpoint, "items": items, "started": call.started,
                 "deadline": call.deadline, "address": list(call.connection.address),
                 "bundle": len(call.items), "rest": call.connection.rest,
-                "connected": call.connection.connected}
+                "connected": call.connection.connected,
+                "write_by": call.write_by if call.write_by < math.inf else None}
 
     def adopt(self, sock: Socket, state: dict[str, Any]) -> None:
         """Go on with a call of another process."""
@@ -421,12 +447,15 @@
         call = Call(self, state["endpoint"], items)
         call.started, call.deadline = state["started"], state["deadline"]
         call.bundled = state["bundle"] > 1
+        call.write_by = state.get("write_by") or math.inf
         connection = Connection(self.loop, self.network, (state["address"][0], state["address"][1]), sock)
         self._goes_out(call)
         self._wait(call, fresh=items[0].fresh)
         if state["connected"]:
             call.connection = connection
+            call.sent = not state["rest"]
             connection.resume(state["rest"], call)
+            self._bound(call)
         else:
             self._set_up(call, connection)
             connection.connecting(lambda error: self._connected(call, connection, error))
@@ -455,11 +484,18 @@
     def _begun(self, call: Call, connection: Connection, may: bool) -> None:
         if call not in self.out:  # given up while its record was written, and its connection with it
             return
-        if not may:
+        items = call.items
+        # The record may have been written slowly: what held before it is looked at again.
+        call.write_by = self.loop.time() + (self.hooks.write_s(items) if may and items else math.inf)
+        if not may or call.write_by <= self.loop.time() or not self.hooks.may_write(call.endpoint):
             self._unsent(call, Result.MOOT)
             self._keep(call.endpoint, connection)
             return
-        items = call.items
+        fresh = all(item.fresh for item in items)  # such a one may be turned away before it is asked
+        if connection.ended() if fresh else connection.stale():  # what is not written has never run
+            connection.close()
+            self._unsent(call, Result.CONNECT_FAILED if fresh else Result.MOOT)
+            return
         for item in items:
             item.begun = True
         if call.path:
@@ -470,6 +506,12 @@
             body = json.dumps([self._row(i) for i in items], separators=(",", ":")).encode()
             headers = [self._patience(call), ("Content-Type", "application/json")]
             connection.request("POST", "/events/bundle", headers, body, call)
+        self._bound(call)
+
+    def _bound(self, call: Call) -> None:
+        """Give up a call whose last byte is still not written when it has to be."""
+        if call.write_by < math.inf and call in self.out and not call.sent:
+            call.timer(call.write_by - self.loop.time(), call.overdue)
 
     def _patience(self, call: Call) -> tuple[str, str]:
         left = max(1, int((call.deadline - self.loop.time()) * 1e3))
--- a/madderbeam/transport/dialing.py
+++ b/madderbeam/transport/dialing.py
@@ -6,11 +6,15 @@
 import contextlib
 import errno
 import socket
+import struct
 from collections.abc import Callable
 
 from madderbeam.ports import Address, Network, Socket
 
 
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close resets
+
+
 class Dialed:
     """What connections of each protocol share. Once it is up `_readable` is called as bytes come."""
 
@@ -51,16 +55,30 @@
 
     def stale(self) -> bool:
         """Whether the other side has ended this idle connection; what is unread counts as well."""
+        return self.closed or self._peek() is not None
+
+    def ended(self) -> bool:
+        """Whether the other side has ended this connection, with nothing left to be read."""
+        return self.closed or self._peek() == b""
+
+    def _peek(self) -> bytes | None:
+        """What is to be read next, b"" at the end, None while nothing has come."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            return self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return self.closed
+            return None
         except OSError:
-            return True
-        return True
+            return b""
 
     def _readable(self) -> None:
         raise NotImplementedError
 
+    def abort(self) -> None:
+        """Close it, and let go of what the system still holds of a request: it would go on sending that for
+        minutes, and a call that was given up would begin when the network is back."""
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self.close()
+
     def close(self) -> None:
         raise NotImplementedError
--- a/madderbeam/transport/http.py
+++ b/madderbeam/transport/http.py
@@ -34,7 +34,7 @@
         """A first part of the answer has come, not all of it."""
 
     def first_line(self, status: int) -> None:
-        """The status line has come, of the answer itself and not of a 1xx one ahead of it."""
+        """The status line has come whole, of the answer itself and not of a 1xx one ahead of it."""
 
     def head(self, status: int, headers: dict[str, str]) -> None:
         """The headers are whole."""
@@ -61,6 +61,7 @@
         self.headers: dict[str, str] = {}
         self.interim = self.status = 0
         self.begun = self.headed = self.whole = self.again = False
+        self.early = False  # it began before its request was written whole: it tells of no run
         self.more = self.copied = False  # something follows; and it is an answer too
         self.head_bytes = 0
 
@@ -79,22 +80,14 @@
 
     def on_status(self, _: bytes) -> None:
         self.copied = self.more
-        self._first_line()
-
-    def _first_line(self) -> None:
-        status = self.parser.get_status_code()
-        if not self.more and not self.status and status >= 200:
-            self.status = status
-            self.exchange.first_line(status)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.more:
+        if not self.more and not self.headed:  # what trails the body says nothing of the outcome
             self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
         if self.more or self.parser.get_status_code() < 200:
             return
-        self._first_line()  # one with no reason phrase
         self.headed = True
         self.exchange.head(self.status, self.headers)
 
@@ -113,7 +106,7 @@
     def feed(self, data: memoryview) -> bool:
         """Whether it can still be read."""
         try:
-            self.parser.feed_data(data)
+            self._parse(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.more = self.more or self.whole
             return self.whole
@@ -124,6 +117,21 @@
             self.exchange.begun()
         return self.interim <= MAX_INTERIM and self.head_bytes <= MAX_HEAD
 
+    def _parse(self, data: memoryview) -> None:
+        """By lines up to the first one of the answer itself, which tells nothing until it is whole."""
+        text, at = b"" if self.status else bytes(data), 0
+        while not self.status and at < len(text):
+            end = text.find(b"\n", at) + 1
+            self.parser.feed_data(text[at:end or len(text)])
+            at = end or len(text)
+            status = self.parser.get_status_code()
+            if end and status >= 200:
+                self.status = status
+                if not self.early:
+                    self.exchange.first_line(status)
+        if at < len(data):
+            self.parser.feed_data(data[at:])
+
 
 def nothing() -> None:
     """Nobody wants to hear of it."""
@@ -184,6 +192,7 @@
         except BlockingIOError:
             pass
         except OSError:
+            self.look()  # an answer may have come ahead of the end; a wait that it tells binds
             self._lose()
             return
         if self.written:
@@ -210,6 +219,7 @@
         if answer is None:  # an end, or bytes that nobody asked for
             self.close()
             return
+        answer.early = answer.early or not self.written
         self.reading = True
         try:
             self._read(answer, data)
@@ -231,6 +241,9 @@
             self._ended(answer)
 
     def _ended(self, answer: Answer) -> None:
+        if answer.early and answer.status < 400:
+            self._spoil()
+            return
         self.answer = None
         if not self.written or not answer.again or answer.more:
             self.close()
--- a/madderbeam/transport/kafka/partner.py
+++ b/madderbeam/transport/kafka/partner.py
@@ -272,6 +272,8 @@
     def stale(self) -> bool:
         return self.closed or any(link.closed or link.stale() for link in self.links.values())
 
+    ended = stale  # nothing comes there unasked
+
     def look(self) -> None:
         """Read what has come by now, if anything has."""
         for link in list(self.links.values()):
@@ -290,6 +292,11 @@
         elif failed is not None and not self.connected:
             failed()
 
+    def abort(self) -> None:
+        for link in self.links.values():
+            link.abort()
+        self.close()
+
     def close(self) -> None:
         if self.closed:
             return
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,380 @@
+"""Answers that break off, come early, late or in the instant in which a call is given up, or never end.
+
+Both ends of each connection are held here and the loop is stopped between their steps, so that every crossing
+is forced: the courier's end reads only when it is told to look."""
+
+import asyncio
+import select
+import socket
+import struct
+import time
+
+import pytest
+from loopback import Server, answer, bounded
+from test_calls import Outcomes
+
+from madderbeam.policy.interface import Result
+from madderbeam.transport import calls as c
+
+DELIVERED = c.Outcome(Result.OK, over=True)
+RESET = c.Outcome(Result.RESET)
+NEVER = c.Outcome(Result.CONNECT_FAILED)
+FULL = answer(429, Retry_After="0.4")
+TOLD = c.Outcome(Result.FULL, wait_us=400_000)
+BIG = b"x" * 8_000_000  # more than the system takes at once
+
+
+def pair(server):
+    """Both ends of a connection over TCP, the courier's first."""
+    theirs = socket.create_connection(server.getsockname())
+    ours, _ = server.accept()
+    ours.setblocking(False)
+    return ours, theirs
+
+
+def arrived(sock):
+    """What was sent to this end has come, an end as well."""
+    assert select.select([sock], [], [], 5)[0]
+
+
+def reset(sock):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+class Held:
+    """Calls on connections whose other ends are held here."""
+
+    def __init__(self, server, **changes):
+        self.o, self.server = Outcomes(**changes), server
+        self.calls = self.o.calls
+        self.calls.place(1, ("127.0.0.1", 1))
+
+    def call(self, *ids, rest=b"", timeout_us=10_000_000, write_by=None):
+        """One that is out, with so much of its request still to be written: the call and the other end."""
+        ours, theirs = pair(self.server)
+        items = [[n, 0, i, "", b"", timeout_us, 0, False, True] for n, i in enumerate(ids or ("a",))]
+        now = asyncio.get_running_loop().time()
+        self.calls.adopt(ours, {"endpoint": 1, "items": items, "started": now, "deadline": now + 10,
+                                "address": ["127.0.0.1", 1], "bundle": len(items), "rest": rest,
+                                "connected": True, "write_by": write_by})
+        return next(reversed(self.calls.out)), theirs
+
+    def told(self, call, theirs, data):
+        """The endpoint sends this, and it is read."""
+        theirs.sendall(data)
+        arrived(call.connection.sock)
+        call.connection.look()
+
+    @property
+    def outcomes(self):
+        ended = []
+        while not self.o.ended.empty():
+            ended.append(self.o.ended.get_nowait()[1])
+        return ended
+
+
+def held(test):
+    """Runs a test with Held."""
+    def run():
+        async def inner():
+            with socket.create_server(("127.0.0.1", 0)) as server:
+                h = Held(server)
+                try:
+                    await test(h)
+                finally:
+                    h.calls.close()
+        asyncio.run(inner())
+    return run
+
+
+CASES = [
+    (answer(200, b"fine"), DELIVERED),
+    (b"HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n", DELIVERED),
+    (b"HTTP/1.1 100 Continue\r\n\r\n" + answer(200), DELIVERED),
+    (FULL, TOLD),
+    (answer(503, Slots_Taken="1"), c.Outcome(Result.MOOT)),
+    (answer(410), c.Outcome(Result.MOOT, over=True)),
+    (answer(500, b"no"), c.Outcome(Result.ERROR)),
+]
+
+
+def line_of_200(text):
+    """Where the first line with 200 is whole, -1 if the answer has none."""
+    at = text.find(b"HTTP/1.1 200")
+    return text.index(b"\n", at) + 1 if at >= 0 else -1
+
+
+@pytest.mark.parametrize("end", [socket.socket.close, reset])
+@pytest.mark.parametrize(("text", "whole"), CASES)
+def test_an_answer_that_breaks_off_at_any_byte_may_have_run_until_it_tells(text, whole, end):
+    # Cut off in "HTTP/1.1 200 O" it counted as delivered: the message was over with no effect and no notice.
+    async def run(h):
+        line = line_of_200(text)
+        for cut in range(len(text) + 1):
+            call, theirs = h.call()
+            if cut:
+                h.told(call, theirs, text[:cut])
+            end(theirs)
+            if call in h.calls.out:
+                arrived(call.connection.sock)
+                call.connection.look()
+            told = cut == len(text) or 0 <= line <= cut
+            assert h.outcomes == [whole if told else RESET], (cut, text[:cut])
+            assert call not in h.calls.out
+    held(run)()
+
+
+@pytest.mark.parametrize(("text", "whole"), CASES)
+def test_an_answer_in_two_pieces_cut_at_any_byte_says_the_same(text, whole):
+    async def run(h):
+        for cut in range(1, len(text)):
+            call, theirs = h.call()
+            h.told(call, theirs, text[:cut])
+            assert h.outcomes == ([whole] if 0 <= line_of_200(text) <= cut else [])
+            h.told(call, theirs, text[cut:])
+            assert h.outcomes == ([] if 0 <= line_of_200(text) <= cut else [whole])
+            assert call not in h.calls.out
+            theirs.close()
+    held(run)()
+
+
+def test_a_bundle_cut_off_at_any_byte_may_have_run():
+    async def run(h):
+        text = answer(200, b'[{"id":"a","state":"done"},{"id":"b","state":"busy"}]')
+        for cut in range(len(text)):
+            call, theirs = h.call("a", "b")
+            if cut:
+                h.told(call, theirs, text[:cut])
+            theirs.close()
+            arrived(call.connection.sock)
+            call.connection.look()
+            assert h.outcomes == [RESET, RESET]
+    held(run)()
+
+
+@held
+async def test_what_trails_an_answer_changes_nothing_of_it(h):
+    call, theirs = h.call()
+    h.told(call, theirs, b"HTTP/1.1 503 x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nRetry-After: 9\r\n\r\n")
+    assert h.outcomes == [c.Outcome(Result.FULL)] and h.o.waits == []
+    theirs.close()
+
+
+# Answers to what is not written whole
+
+
+@held
+async def test_a_200_ahead_of_the_last_byte_is_none(h):
+    # A call begins when its last byte has come: this one can't have.
+    call, theirs = h.call(rest=BIG)
+    assert call.connection.rest  # not written whole
+    h.told(call, theirs, answer(200))
+    assert h.outcomes == [NEVER] and call.connection.closed
+    theirs.close()
+
+
+@held
+async def test_a_wait_told_ahead_of_the_last_byte_binds(h):
+    call, theirs = h.call(rest=BIG)
+    h.told(call, theirs, FULL)
+    assert h.outcomes == [TOLD] and h.o.waits == [400_000] and call.connection.closed
+    theirs.close()
+
+
+@held
+async def test_a_wait_that_came_ahead_of_a_break_is_read_before_it(h):
+    # The write finds the connection broken; the answer lay unread, and its wait was passed by.
+    call, theirs = h.call(rest=BIG)
+    theirs.sendall(FULL)
+    arrived(call.connection.sock)
+    call.connection.sock.shutdown(socket.SHUT_WR)  # from here on writing fails, and reading does not
+    call.connection._write()
+    assert h.outcomes == [TOLD] and h.o.waits == [400_000]
+    theirs.close()
+
+
+@pytest.mark.parametrize("rest", [b"", BIG])
+def test_a_reset_may_have_run_once_the_last_byte_was_written_and_only_then(rest):
+    async def run(h):
+        call, theirs = h.call(rest=rest)
+        reset(theirs)
+        outcome = (await bounded(h.o.ended.get()))[1]
+        assert outcome == (NEVER if rest else RESET)
+    held(run)()
+
+
+# The instant of reuse
+
+
+@pytest.mark.parametrize("step", [b"", b"HTTP/1.1 200 O", answer(200), answer(408)])
+def test_a_kept_connection_that_ends_while_the_record_is_written_carries_nothing(step):
+    # It was looked at before the record of the attempt and not behind it, however long that took.
+    async def run(h):
+        call, theirs = h.call()
+        h.told(call, theirs, answer(200))
+        assert h.outcomes == [DELIVERED] and h.calls.idle == 1
+
+        def slow(items, go):
+            theirs.sendall(step)
+            if not step:
+                theirs.close()
+            arrived(call.connection.sock)
+            go(True)
+        h.calls.hooks.begin = slow
+        item = c.Item(5, 0, "b", "", b"x", 5_000_000)
+        h.calls.send(1, [item])
+        assert h.outcomes == [c.Outcome(Result.MOOT)] and not item.begun
+        assert call.connection.closed and not h.calls.out and not h.calls.idle
+        if step:
+            arrived(theirs)
+            with pytest.raises(ConnectionResetError):  # closed over what was unread; no byte of a call came
+                theirs.recv(1)
+            theirs.close()
+    held(run)()
+
+
+@held
+async def test_a_drain_learnt_while_the_record_is_written_holds_the_call_back(h):
+    call, theirs = h.call()
+    h.told(call, theirs, answer(200))
+
+    def slow(items, go):
+        h.o.allowed = False
+        go(True)
+    h.calls.hooks.begin = slow
+    item = c.Item(5, 0, "b", "", b"x", 5_000_000)
+    h.calls.send(1, [item])
+    assert h.outcomes == [DELIVERED, c.Outcome(Result.MOOT)] and not item.begun
+    assert h.calls.idle == 1  # the connection is as good as before
+    theirs.setblocking(False)
+    with pytest.raises(BlockingIOError):
+        theirs.recv(1)
+    theirs.close()
+
+
+# Given up in the instant of the answer
+
+
+@pytest.mark.parametrize(("text", "whole"), [CASES[0], CASES[3]])
+def test_an_answer_that_came_with_a_cancel_is_heard(text, whole):
+    async def run(h):
+        call, theirs = h.call()
+        theirs.sendall(text)
+        arrived(call.connection.sock)
+        h.calls.cancel(0, 0)
+        assert h.outcomes == [whole] and len(h.o.waits) == (whole is TOLD)
+        theirs.close()
+    held(run)()
+
+
+def test_an_answer_that_came_with_the_time_out_of_a_probe_is_heard():
+    async def run(h):
+        ours, theirs = pair(h.server)
+        connection = c.Connection(h.calls.loop, h.calls.network, ("127.0.0.1", 1), ours)
+        connection.connected = True
+        h.calls.network.on_readable(ours, connection._readable)
+        h.calls._keep(1, connection)
+        h.calls.connect_s = 0.05
+        h.calls.probe(1)
+        theirs.sendall(FULL)
+        arrived(ours)
+        time.sleep(0.06)  # the loop does not turn: both are due when it does
+        h.calls._late(next(iter(h.calls.out)))
+        assert h.o.probes.get_nowait() is Result.FULL and h.o.waits == [400_000]
+        theirs.close()
+    held(run)()
+
+
+@held
+async def test_the_rest_of_an_answer_that_came_with_its_time_is_heard(h):
+    call, theirs = h.call()
+    h.told(call, theirs, FULL[:-2])
+    theirs.sendall(FULL[-2:])
+    arrived(call.connection.sock)
+    call.drop()
+    assert h.outcomes == [TOLD]
+    theirs.close()
+
+
+def test_a_cancelled_call_has_never_run_if_its_last_byte_was_not_written():
+    async def run(h):
+        call, theirs = h.call(rest=BIG)
+        h.calls.cancel(0, 0)
+        assert h.outcomes == [c.Outcome(Result.MOOT)] and call.connection.closed
+        theirs.close()
+    held(run)()
+
+
+@held
+async def test_what_is_given_up_is_reset_and_not_sent_on(h):
+    # A plain close leaves the system sending what it holds: the call would begin long after, out of its
+    # window. Here that is everything beyond what the other end had room for.
+    call, theirs = h.call(rest=BIG)
+    h.calls.cancel(0, 0)
+    came = 0
+    with pytest.raises(ConnectionResetError):
+        while part := theirs.recv(1 << 16):
+            came += len(part)
+    assert came < len(BIG)
+    theirs.close()
+
+
+# Answers without an end
+
+
+class Endless(Server):
+    """Answers each call with a head and then with parts, for as long as the connection lasts."""
+
+    def __init__(self, head, part):
+        super().__init__()
+        self.head, self.part, self.over = head, part, asyncio.Event()
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self.head)
+        try:
+            while True:
+                writer.write(self.part)
+                await writer.drain()
+                await asyncio.sleep(0)
+        finally:
+            self.over.set()
+
+
+@pytest.mark.parametrize(("head", "part"), [
+    (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    (b"", b"\r\n"),
+    (b"HTTP/1.1 500 x\r\n", b"A: b\r\n"),
+    (b"HTTP/1.1 500 x\r\nA: ", b"b" * 100),
+    (b"HTTP/1.1 500 x\r\n\r\n", b"b" * 1000),
+    (b"HTTP/1.1 500 x\r\nContent-Length: 3000000000\r\n\r\n", b"b" * 1000),
+    (b"HTTP/1.1 500 x\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\nb\r\n"),
+    (b"HTTP/1.1 500 x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"A: b\r\n"),
+])
+def test_an_answer_that_never_ends_is_given_up(head, part):
+    async def run():
+        endpoint = await Endless(head, part).start()
+        o = Outcomes()
+        began = asyncio.get_running_loop().time()
+        (_, outcome), = await o.send(endpoint.port, "a", timeout_us=60_000_000)
+        assert outcome.result is Result.ERROR and outcome.spoilt
+        assert asyncio.get_running_loop().time() - began < 10 * c.TAIL_S
+        await bounded(endpoint.over.wait())  # its connection is closed
+        assert not o.calls.out and not o.calls.idle
+        await endpoint.stop()
+    asyncio.run(run())
+
+
+@held
+async def test_calls_hold_nothing_back(h):
+    # Small writes wait for nothing: a request has to be whole at the endpoint before its time.
+    loop = asyncio.get_running_loop()
+    h.server.setblocking(False)
+    h.calls.place(1, h.server.getsockname())
+    h.calls.send(1, [c.Item(5, 0, "b", "", b"x", 5_000_000)])
+    theirs, _ = await bounded(loop.sock_accept(h.server))
+    await bounded(loop.sock_recv(theirs, 1))
+    call, = h.calls.out
+    assert call.connection.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+    theirs.close()
