Tests of keys' windows of a second; the simulation's answers tell from a whole first line on

The simulation's endpoints counted a first line as told 14 bytes into it, before its end, and so held the courier to a line that was cut off. "A first line with 200 is written" is the whole line; one that is cut off says reset, and a notice for a message that is over does no harm, while one too few loses it. Its check of a key's window is one function for both looks, and the planted fault and the unmended half of its test switch off that.

--- a/madderbeam/simulation/endpoints.py
+++ b/madderbeam/simulation/endpoints.py
@@ -14,7 +14,8 @@
 from madderbeam.simulation.network import Peer, Stream
 
 
-FIRST_LINE = 14  # bytes of HTTP/1.1 200 x
+STATUS = 14  # bytes of HTTP/1.1 200 x
+FIRST_LINE = STATUS + 2  # with its end: cut off ahead of that, it is no first line and tells nothing
 STATES = {"done": "done", "failed": "failed", "full": "busy", "void": "void"}
 
 
@@ -333,7 +334,7 @@
             self._spoil(call, status, bundle, text)
             return
         if call.items and mood.half and chance.random() < mood.half:
-            self._broken_off(call, status, bundle, text[:chance.randrange(FIRST_LINE, len(text))])
+            self._broken_off(call, status, bundle, text[:chance.randrange(STATUS, len(text))])
             stream.finish()
             return
         ahead = b""
@@ -374,7 +375,7 @@
         with one message."""
         known_at = self.stream.sent + FIRST_LINE
         self.stream.write(text)
-        true = status == 200 and not bundle
+        true = status == 200 and not bundle and len(text) >= FIRST_LINE
         done = {a.handed.id: "done" for a in call.items} if true else {}
         self.kernel.checker.answered(call, done, known_at)
 
--- a/tests/simulation/planted.py
+++ b/tests/simulation/planted.py
@@ -1,6 +1,7 @@
 """Bugs to plant in the courier, each with the rules that it may break: they prove the checker."""
 
 import json
+import math
 import sys
 from dataclasses import dataclass, replace
 
@@ -91,7 +92,7 @@
 @bug(1, "repeat")
 def uses_a_key_past_its_window(patch):
     _classes(patch, key_window_us=60_000_000)
-    patch.setattr(Attempts, "_key_late", lambda self, m: False)
+    patch.setattr(Attempts, "_key_s", lambda self, m, ran_at: math.inf)
 
 
 @bug(5, "repeat")
--- a/tests/simulation/test_mended.py
+++ b/tests/simulation/test_mended.py
@@ -1,5 +1,6 @@
 """What seeds found and too few seeds find again, each caused directly: seen to fail without its mend."""
 
+import math
 import random
 from dataclasses import replace
 
@@ -95,7 +96,7 @@
 def test_a_key_s_window_passes_while_a_connection_is_made(monkeypatch, mended):
     # The first attempt hangs until shortly before the window's end; the second waits for a slow handshake.
     if not mended:
-        monkeypatch.setattr(Attempts, "_key_late", lambda self, m: False)
+        monkeypatch.setattr(Attempts, "_key_s", lambda self, m, ran_at: math.inf)
     faults = [Fault("hung", 100, 1500), Fault("slow_handshakes", 600, 8000, 0, 0.999)]
     made = Script(seed=1, couriers=1, dests=1, rate_per_s=0, seconds=2.0, tight=50.0)
     rules = set()
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -253,6 +253,29 @@
     theirs.close()
 
 
+@pytest.mark.parametrize(("step", "outcome"), [(b"", NEVER), (FULL, TOLD)])
+def test_a_new_connection_that_ends_while_the_record_is_written_carries_nothing(step, outcome):
+    # An unsafe message was taken for one that may have run. One that is turned away at once says so first.
+    async def run(h):
+        h.server.setblocking(False)
+        h.calls.place(1, h.server.getsockname())
+        reached, ended = [], h.o.ended
+
+        def slow(items, go):
+            theirs, _ = h.server.accept()
+            theirs.sendall(step)
+            theirs.close()
+            call, = h.calls.out
+            arrived(call.connection.sock)
+            go(True)
+            reached.append(items[0].begun)
+        h.calls.hooks.begin = slow
+        h.calls.send(1, [c.Item(5, 0, "b", "", b"x", 5_000_000)])
+        assert (await bounded(ended.get()))[1] == outcome
+        assert reached == [step != b""] and not h.calls.out
+    held(run)()
+
+
 # Given up in the instant of the answer
 
 
--- /dev/null
+++ b/tests/test_key_window.py
@@ -0,0 +1,167 @@
+"""Keys that a destination remembers for one second: no byte of a repeat that could make a second effect goes
+out behind that, however slowly its connection, its record or its body was made."""
+
+import asyncio
+import socket
+import time
+
+import pytest
+from loopback import Server, answer, bounded, courier, read_request, settings
+
+WINDOW_S = 1.0
+BODY = b"x" * 60_000
+
+
+def keyed():
+    """The usual settings, with a window of a second."""
+    raw = settings()
+    raw["classes"][1]["keyTtlUs"] = int(WINDOW_S * 1e6)
+    return raw
+
+
+def at_attempt(host, number, act):
+    """Call `act` while the record of the attempt of that number is written: behind all that is looked at
+    before it, and ahead of the first byte."""
+    attempt, count = host.journal.attempt, 0
+
+    def slowly(*args):
+        nonlocal count
+        count += 1
+        if count == number:
+            act()
+        attempt(*args)
+    host.journal.attempt = slowly
+
+
+@courier
+async def test_a_record_that_is_written_past_the_window_is_followed_by_no_repeat(fleet):
+    fleet.raw = keyed()
+    endpoint = await fleet.endpoint("e", answer(500))
+    client = await fleet.inside()
+    at_attempt(fleet.host, 2, lambda: time.sleep(WINDOW_S))  # a disk that takes its time
+    assert await client.put("a", kind="keyed", key="k1") == "+OK"
+    await endpoint.call()
+    assert (await fleet.discovery.final())["id"] == "a"
+    assert endpoint.calls.empty()
+
+
+@courier
+async def test_a_connection_that_is_up_past_the_window_carries_no_repeat(fleet):
+    fleet.raw = keyed()
+    endpoint = await fleet.endpoint("e", answer(500, Connection="close"))
+    client = await fleet.inside()
+    connected, loop = fleet.host.calls._connected, asyncio.get_running_loop()
+
+    def late(*args):
+        if endpoint.calls.empty() and not endpoint.accepted:
+            connected(*args)
+        else:
+            loop.call_later(WINDOW_S, connected, *args)
+    fleet.host.calls._connected = late
+    assert await client.put("a", kind="keyed", key="k1") == "+OK"
+    await endpoint.call()
+    assert (await fleet.discovery.final())["id"] == "a"
+    assert endpoint.calls.empty()
+
+
+class Halting(Server):
+    """Fails the first call; takes only the head of the second one until the window is over."""
+
+    def __init__(self):
+        super().__init__()
+        self.second = asyncio.get_running_loop().create_future()
+
+    async def start(self, port=0):
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        self.server = await asyncio.start_server(self._accept, sock=listener, limit=2048)
+        self.port = listener.getsockname()[1]
+        return self
+
+    async def serve(self, reader, writer):
+        await read_request(reader)
+        over = asyncio.get_running_loop().time() + WINDOW_S + 0.1
+        writer.write(answer(500))
+        await reader.readexactly(10)
+        await asyncio.sleep(over - asyncio.get_running_loop().time())
+        try:
+            await reader.readexactly(len(BODY))
+            self.second.set_result("whole")
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.second.set_result("broken off")
+
+
+@courier
+async def test_a_body_that_is_written_in_parts_is_given_up_at_the_end_of_the_window(fleet):
+    fleet.raw = keyed()
+    endpoint = fleet.endpoints["e"] = await Halting().start()
+    fleet.discovery.target("e", endpoint.port, 7)
+    client = await fleet.inside()
+    network = fleet.host.calls.network
+    stream = network.stream
+
+    def small(address):
+        sock = stream(address)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return sock
+    network.stream = small
+    assert await client.put("a", kind="keyed", key="k1", body=BODY) == "+OK"
+    assert await bounded(endpoint.second) == "broken off"
+    assert (await fleet.discovery.final())["id"] == "a"
+
+
+@pytest.mark.parametrize("waits", [False, True])
+def test_over_a_restart_the_window_runs_from_the_first_attempt_that_may_have_run(tmp_path, waits):
+    @courier
+    async def run(fleet):
+        fleet.raw = keyed()
+        endpoint = await fleet.endpoint("e", "hang")
+        client = await fleet.inside()
+        assert await client.put("a", kind="keyed", key="k1") == "+OK"
+        await endpoint.call()
+        fleet.host.close()  # as SIGKILL: nothing more is recorded
+        if waits:
+            await asyncio.sleep(WINDOW_S)
+        at_first = asyncio.get_running_loop().time()
+        await fleet.inside()
+        if waits:
+            assert (await fleet.discovery.final())["id"] == "a"
+            assert endpoint.calls.empty()
+        else:
+            assert (await endpoint.call())[3] - at_first < WINDOW_S
+            await bounded(until(lambda: not fleet.host.journal.held))
+    run(tmp_path)
+
+
+async def until(true):
+    while not true():
+        await asyncio.sleep(0.005)
+
+
+@pytest.mark.parametrize("kind", ["keyed", "unsafe"])
+def test_an_attempt_held_back_behind_its_record_has_never_run(tmp_path, kind):
+    # Its record stands; without another one that takes it back, a restart ends an unsafe message unsent.
+    @courier
+    async def run(fleet):
+        fleet.raw = keyed()
+        endpoint = await fleet.endpoint("e")
+        client = await fleet.inside()
+        host, hooks, states = fleet.host, fleet.host.calls.hooks, []
+        may_write, missed = hooks.may_write, host.journal.missed
+
+        def drains():
+            hooks.may_write = lambda endpoint: False
+
+        def seen(number):
+            missed(number)
+            states.append(host.journal.held[number].state)
+            hooks.may_write = may_write
+        host.journal.missed = seen
+        at_attempt(host, 1, drains)
+        assert await client.put("a", kind=kind, key="k1") == "+OK"
+        await endpoint.call()
+        assert states == ["taken"]
+        await bounded(until(lambda: not host.journal.held))
+        assert endpoint.calls.empty() and fleet.discovery.finals.empty()
+    run(tmp_path)
