The list's clock is one deadline that every wait of a watch is cut to

Cause: each wait of a watch was bounded by itself, their sum was not. Silence (3.2 s), then turned away (0.5 to 2 s), then a call that hangs (2.5 s) began the next call 7.7 s after the last word; a connect that took 0.95 s, refusals with waits that grow to 1 s, and a connect that hangs went over 6 s as well (transport/ discovery.py: SILENCE_S, WORD_S, CONNECT_S, AGAIN_S and BUSY_S, each set by `after` on its own). Two more were found by the test: a list without a version counted as a word, so that it began the silence anew; a list that came in pieces over more than 2.5 s was cut and asked for again, for ever.

Mend: a watch waits never beyond `by`. That is the end of a clock of 5.7 s that runs from the last word, and behind it, until the next word, half a clock from the begin of each call. Silence, a turn-away and a call that hangs are 2.7 + 0.9 + 2.1 = 5.7 s in a row. A list that is coming has time up to the clock's end. Where discovery turns away, a call that the clock's end would cut amid discovery's queue is begun at that end.

Lists that can't be read are told in the log once.

--- a/madderbeam/transport/discovery.py
+++ b/madderbeam/transport/discovery.py
@@ -13,13 +13,21 @@
 from madderbeam.transport.http import Connection, Exchange
 from madderbeam.transport.values import Unreadable, Values
 
-# What a watch misses that has fallen silent counts as told 6 s later, whether or not it arrived: whatever
-# becomes of it, discovery is asked again within SILENCE_S, and twice within those 6 s (then WORD_S).
-SILENCE_S = 3.2  # an empty line comes every 2 s: after this the watch is taken for dead
-WORD_S = 2.5  # and a new one after this: it is answered at once, or with an empty line within 2 s
+# The list's clock. A change counts as told 6 s after discovery had it and could be reached, whatever failed,
+# was refused or given up in between. So all waits of a watch are cut to the end of one clock, which runs from
+# its last word, and is as long as silence, a turn-away and a call that hangs in a row: 2.7 + 0.9 + 2.1 = 5.7.
+CLOCK_S = 5.7  # the rest of the 6 s is for the last call's answer
+SILENCE_S = 2.7  # an empty line comes every 2 s: after this the watch is taken for dead
+CALL_S = 2.1  # an answer begins at once, or after discovery's queue, of 2 s at most
+WORD_S = 2.5  # from there to the first word: a change at once, or an empty line within 2 s
+STEP_S = CLOCK_S / 2  # once the clock is over: from one call to the next at most
+MOVED_S = 3.7  # the clock of a watch whose discovery has moved: what the new one has counts 4 s later
 CONNECT_S = 1.0
 AGAIN_S = (0.1, 1.0)  # first and longest ceiling of the wait before the next try
-BUSY_S = (2.0, 3.0)  # the same where discovery turned the watch away: all that ask again so keep it busy
+# The same where discovery turned the watch away: all that ask again so keep it busy.
+BUSY_S = (0.9, 2.7)
+BUSY_FLOOR_S = 0.5
+TIMER_S = 0.01  # a timer may come so much early
 NOTICE_AGAIN_S = 0.1  # the longest for notices, which are owed 300 ms after a message's time is up
 NOTICE_S = 1.0  # a notice is answered at once: after this it is sent again
 BATCH = 200  # notices in one request
@@ -41,8 +49,8 @@
     def busy(self) -> float:
         """The wait of one that was turned away."""
         self.ceiling = max(self.ceiling, BUSY_S[0])
-        wait = self.chance.uniform(self.ceiling / 4, self.ceiling)
-        self.ceiling = min(BUSY_S[1], self.ceiling * 2)
+        wait = self.chance.uniform(max(BUSY_FLOOR_S, self.ceiling / 2), self.ceiling)
+        self.ceiling = BUSY_S[1]
         return wait
 
     def reset(self) -> None:
@@ -111,57 +119,104 @@
 
 
 class Watch(Link, Exchange):
-    """Follows the list of endpoints from the last version on."""
+    """Follows the list of endpoints from the last version on.
+
+    It always waits for one thing alone, never beyond `by`: the end of the clock that runs from its last word,
+    and once that is over the time at which the next call has to begin.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, network: Network, address: Address,
-                 chance: random.Random, rev: int, told: Callable[[dict[str, Any]], None]) -> None:
+                 chance: random.Random, rev: int, told: Callable[[dict[str, Any]], bool | None]) -> None:
+        """`told` is called with each change; False: a part of it can't be used, all should be told anew."""
         super().__init__(loop, network, address, chance)
         self.rev, self.told = rev, told
         self.values, self.status = Values(), 0
+        self.began = self.by = 0.0  # the newest call, on the loop's clock
+        self.clock_end = 0.0
+        self.complaint = ""  # the newest, until a list can be read
+
+    def after(self, delay: float, action: Callable[[], None]) -> None:
+        super().after(max(0.0, min(delay, self.by - self.loop.time())), action)
+
+    def open(self) -> None:
+        self.began = self.loop.time()
+        over = self.began > self.clock_end - TIMER_S
+        self.by = self.began + STEP_S if over else self.clock_end
+        super().open()
+
+    def _clock(self, seconds: float) -> None:
+        """What discovery has from now on is to be known by then."""
+        self.by = self.clock_end = self.loop.time() + seconds
 
     def move(self, address: Address) -> None:
         """Follow the list at the new address at once, from the last version on."""
         super().move(address)
+        self._clock(MOVED_S)
         self.open()
 
     def ready(self) -> None:
         assert self.connection is not None
         self.values, self.status = Values(), 0
-        self.after(WORD_S, self.open)
+        self.after(self.began + CALL_S - self.loop.time(), self.open)
         self.connection.request("GET", f"/discovery/hosts?watch=1&from={self.rev}", [], b"", self)
 
     def head(self, status: int, headers: dict[str, str]) -> None:
         self.status = status
-        if status != 200:
-            log.warning("discovery: watch answered %d", status)
-            assert self.connection is not None
-            self.connection.close()
-            self.after(self.backoff.busy(), self.open)
+        if status == 200:
+            self.after(WORD_S, self.open)
+            return
+        log.warning("discovery: watch answered %d", status)
+        assert self.connection is not None
+        self.connection.close()
+        wait, left = self.backoff.busy(), self.clock_end - self.loop.time()
+        # A call that the clock's end would cut amid discovery's queue is work for nothing: it begins there.
+        self.after(left if wait < left < wait + CALL_S - TIMER_S else wait, self.open)
 
     def data(self, data: bytes) -> None:
         if self.connection is None or self.connection.closed:
             return  # given up amid what was read at once
         try:
+            word = not data.strip()  # blanks tell nothing of a value that is coming
             for change in self.values.feed(data):
+                if change is not None and not self._change(change):
+                    return
                 # An empty line or a whole list is a sign of life; a part of one may be the last that comes.
+                word = True
+                self._clock(CLOCK_S)
                 self.after(SILENCE_S, self.open)
-                if change is not None:
-                    self._change(change)
+            if not word:
+                self._part()
         except Unreadable as error:  # those behind it do not count: the version that they lead to is not ours
-            log.error("discovery: a list that can't be read: %s", error)
-            self.rev = 0  # what it said is lost: ask for all anew
-            self.retry()
+            self._anew(f"a list that can't be read: {error}")
+
+    def _part(self) -> None:
+        """Of a value that may take seconds to come: it has time while more comes, up to the clock's end."""
+        if self.by > self.clock_end:  # that is over: one of its own, from this call's begin
+            self.by = max(self.by, self.began + CLOCK_S)
+        self.after(CALL_S, self.open)
 
-    def _change(self, change: dict[str, Any]) -> None:
+    def _change(self, change: dict[str, Any]) -> bool:
+        """Whether it is ours from now on."""
         try:
             rev, targets = int(change["rev"]), change["targets"]
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, OverflowError) as error:
             raise Unreadable(repr(error)) from None
         if not isinstance(targets, list):
             raise Unreadable("targets is no list")
+        if self.told(change) is False:
+            self._anew("")
+            return False
         self.backoff.reset()
-        self.rev = rev
-        self.told(change)
+        self.rev, self.complaint = rev, ""
+        return True
+
+    def _anew(self, complaint: str) -> None:
+        """What it said is lost: ask for all. The log hears of the same once."""
+        if complaint and complaint != self.complaint:
+            log.error("discovery: %s", complaint)
+            self.complaint = complaint
+        self.rev = 0
+        self.retry()
 
     def end(self, noise: bool) -> None:
         self.retry()
