A strange entry of a list leaves its endpoint as it was, is told once and asked for again

Cause: an entry that could not be read was left out of what was read of a whole list, so that its endpoint counted as gone (host/listing.py `read`, `unnamed`). An endless or huge number raised OverflowError, which nobody caught: it was swallowed as an unreadable answer, and all that stood behind it in the list was lost, though the version counted as known. A drain that another courier had passed on was forgotten, and a number given to an id, before the entry was read. A rate of infinity or not-a-number went on to the decision module. Routing of a strange form beside a list raised what was not caught, and kept the list away with it.

Mend: nothing of an entry is taken over unless all of it can be read; endpoints that a whole list tells of in a way that can't be read stay as they were, and all of them where it does not even tell of whom. The log is told of each strange entry once; a new one has the whole list asked for again, once, and after that the watch goes on, so that one that stays strange costs no further calls. Entries that can be read count at once.

--- a/madderbeam/host/listing.py
+++ b/madderbeam/host/listing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable, Container
 from dataclasses import replace
 from typing import Any
@@ -48,35 +49,46 @@
         self.rate: Callable[[i.ListEntry], float] | None = None
         # What it is to be told beside, of what others have learnt.
         self.learnt: Callable[[i.ListEntry], i.ListEntry] | None = None
+        self.strange: set[str] = set()  # entries that can't be read, as the log was told of them
+        self.puzzled = False  # the newest list told of one in a new way: it should be asked for again
 
     def read(self, change: dict[str, Any]) -> list[tuple[i.ListEntry, Address]]:
         """The entries of a change that can be read, now part of the list."""
-        found = []
+        found, strange = [], set()
         for target in change.get("targets", []):
             try:
                 entry, address = self._entry(target)
-            except (KeyError, TypeError, ValueError, ConfigError) as error:
-                log.error("discovery: an entry that can't be read: %r", error)
+            except (LookupError, TypeError, ValueError, OverflowError, AttributeError, ConfigError) as error:
+                strange.add(f"{error!r}: {target!r:.200}")
                 continue
             found.append((entry, address))
             self.entries[entry.endpoint] = entry
             self.dests.add(entry.destination)
+        for text in strange - self.strange:
+            log.error("discovery: an entry that can't be read, its endpoint stays as it was: %s", text)
+        self.puzzled = not strange <= self.strange
+        # Those of a whole list are all that there are now.
+        self.strange = strange if change.get("all") or len(self.strange) > EVER else self.strange | strange
         return found
 
     def _entry(self, target: dict[str, Any]) -> tuple[i.ListEntry, Address]:
-        uid = str(target["uid"])
-        self.drains_passed_on.pop(uid, None)
-        number = self.number(uid)
+        """Nothing of the list changes unless all of it can be read."""
+        uid, rate = target["uid"], float(target.get("capacity_hint") or 0.0)
+        if not uid or not isinstance(uid, str) or not 0 <= rate < math.inf:
+            raise ValueError("an id or a rate that is none")
         kind, zone = self.kinds.get(target.get("model", ""), 0), self.zones.get(target.get("az", ""), 0)
-        entry = i.ListEntry(number, int(target["pod_group"]), STATES[target["state"]],
-                            float(target.get("capacity_hint") or 0.0), kind, zone)
+        dest, state = int(target["pod_group"]), STATES[target["state"]]
         address = parse_address(target["endpoint"], "endpoint")
-        if topic := target.get("topic"):
-            self.topics[number] = str(topic)
+        topic, subscribed = str(target.get("topic") or ""), tuple(map(str, target.get("topics") or ()))
+        self.drains_passed_on.pop(uid, None)
+        number = self.number(uid)
+        entry = i.ListEntry(number, dest, state, rate, kind, zone)
+        if topic:
+            self.topics[number] = topic
         else:
             self.topics.pop(number, None)
-        if subscribed := target.get("topics"):
-            self.subscribed[number] = tuple(map(str, subscribed))
+        if subscribed:
+            self.subscribed[number] = subscribed
         else:
             self.subscribed.pop(number, None)
         if uid in self.bans:
@@ -121,6 +133,14 @@
         """Those listed now."""
         return {number for number in self.told if number in self.entries}
 
+    def kept(self, change: dict[str, Any], read: list[i.ListEntry]) -> list[i.ListEntry]:
+        """Entries that stay as they were, since a whole list tells of them in a way that can't be read. Where
+        it does not even tell of whom, none of them has gone."""
+        known = {e.endpoint for e in read}
+        ids = [t.get("uid") if isinstance(t, dict) else None for t in change.get("targets", [])]
+        everyone, named = not all(isinstance(uid, str) and uid for uid in ids), {str(uid) for uid in ids}
+        return [e for n, e in self.entries.items() if n not in known and (everyone or self.names[n] in named)]
+
     def unnamed(self, entries: list[i.ListEntry]) -> list[int]:
         """The endpoints that a whole list leaves out."""
         named = {e.endpoint for e in entries}
--- a/madderbeam/host/routing.py
+++ b/madderbeam/host/routing.py
@@ -33,13 +33,13 @@
         """What stands beside the list; one that can't be used is told and leaves the old in force."""
         if raw is None:
             return
-        from madderbeam.routing.router import Router, RoutingError
+        from madderbeam.routing.router import Router
 
         s = self.config.settings
         router = self.router or Router(self.config.seed, s.me, s.couriers, self.config.zone)
         try:
             router.configure(raw)
-        except RoutingError as error:
+        except (LookupError, TypeError, ValueError, AttributeError) as error:
             log.error("routing stays as it was: %s", error)
             return
         self.router = router
--- a/madderbeam/host/surroundings.py
+++ b/madderbeam/host/surroundings.py
@@ -33,7 +33,7 @@
 
 def surroundings(loop: asyncio.AbstractEventLoop, disk: Disk, network: Network, config: Config,
                  accepted: Callable[[list[int]], None],
-                 listed: Callable[[dict[str, Any]], None]) -> Surroundings:
+                 listed: Callable[[dict[str, Any]], bool]) -> Surroundings:
     """`accepted` is told of notices that were, `listed` of news of the list."""
     chance, side = random.Random(f"links {config.seed}"), config.sidecar
     if side is None:
--- a/madderbeam/host/turn.py
+++ b/madderbeam/host/turn.py
@@ -224,8 +224,8 @@
         self._routed()
         self.list_told(i.ListForm.DELTA, entries)
 
-    def listed(self, change: dict[str, Any], form: i.ListForm | None = None) -> None:
-        """Discovery tells a whole list or a change of it."""
+    def listed(self, change: dict[str, Any], form: i.ListForm | None = None) -> bool:
+        """Discovery tells a whole list or a change of it; False if all should be told again."""
         form = form or (i.ListForm.FULL if change.get("all") else i.ListForm.DELTA)
         self.routing.configure(change.get("routing"))
         read = self.listing.read(change)
@@ -234,6 +234,7 @@
         for entry, address in read:
             self.calls.place(entry.endpoint, address, self.listing.topics.get(entry.endpoint, ""))
         if form is not i.ListForm.DELTA:
+            entries += self.listing.kept(change, entries)
             for number in self.listing.unnamed(entries):
                 self.gone(number)
         for entry in entries:
@@ -244,6 +245,7 @@
         self.list_changed(entries, form)
         if form is not i.ListForm.CACHED:
             self._first()
+        return not self.listing.puzzled
 
     def list_changed(self, entries: Iterable[i.ListEntry], form: i.ListForm = i.ListForm.DELTA) -> None:
         """These are part of the list from now on."""
--- a/madderbeam/transport/discovery.py
+++ b/madderbeam/transport/discovery.py
@@ -126,7 +126,7 @@
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, network: Network, address: Address,
-                 chance: random.Random, rev: int, told: Callable[[dict[str, Any]], bool | None]) -> None:
+                 chance: random.Random, rev: int, told: Callable[[dict[str, Any]], object]) -> None:
         """`told` is called with each change; False: a part of it can't be used, all should be told anew."""
         super().__init__(loop, network, address, chance)
         self.rev, self.told = rev, told
--- a/madderbeam/transport/local.py
+++ b/madderbeam/transport/local.py
@@ -22,7 +22,7 @@
     """Follows a partner list that is replaced as a whole; one that can't be used leaves the old in force."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, disk: Disk, path: str,
-                 told: Callable[[dict[str, Any]], None]) -> None:
+                 told: Callable[[dict[str, Any]], object]) -> None:
         self.loop, self.disk, self.path, self.told = loop, disk, path, told
         self.stamp: tuple[int, ...] = ()
         self.digest = ""
