--- a/tests/simulation/planted.py
+++ b/tests/simulation/planted.py
@@ -609,6 +609,7 @@
 @bug(0, "books", script="lines_behind_a_spoilt_one")
 def goes_on_reading_behind_a_change_that_is_lost(patch):
     def data(self, data):
+        self._clock(discovery.CLOCK_S)
         self.after(discovery.SILENCE_S, self.open)
         *lines, self.values.part = (self.values.part + data).split(b"\n")
         for line in filter(bytes.strip, map(bytes, lines)):
