Refusals of bad requests say what is allowed

Need: a request that can't be used is answered with its field and what is allowed; classes, the most of d, the forms of ids and commands were not said.

--- a/madderbeam/host/admission.py
+++ b/madderbeam/host/admission.py
@@ -92,19 +92,20 @@
         """The numbers of its class and tenant."""
         cls = self.classes.get(put.cls)
         if cls is None:
-            raise BadRequest("c: no such class")
+            raise BadRequest(f"c: no such class, must be one of {', '.join(sorted(self.classes))}")
         tenant = self.tenants.get(put.tenant or "", -1) if self.tenants else 0
         if tenant < 0:
-            raise BadRequest("t: no such tenant")
+            raise BadRequest("t: no such tenant, must be one of the settings")
         if self.s.classes[cls].effect is i.Effect.KEYED and not put.key:
-            raise BadRequest("k: lacks, and the class is keyed")
-        if put.life_ms * 1000 > LONGEST * self.s.classes[cls].deadline_us:
-            raise BadRequest("d: far over the deadline of the class")
+            raise BadRequest("k: lacks, must be given for a keyed class")
+        most_ms = LONGEST * self.s.classes[cls].deadline_us // 1000
+        if put.life_ms > most_ms:
+            raise BadRequest(f"d: must be at most {most_ms}, by the deadline of the class")
         if put.topic and not self.doors:
             raise BadRequest("topic: this courier is in no federation")
         # Behind a door others may serve what this courier's list lacks: the door knows.
         if self.listing.dests and not self.doors and put.dest not in self.listing.dests:
-            raise BadRequest("dest: no such destination")
+            raise BadRequest("dest: no such destination, must be one of the list")
         return cls, tenant
 
     def arrival(self, m: Held, weight: float = 1.0) -> i.MessageArrived:
--- a/madderbeam/transport/clients.py
+++ b/madderbeam/transport/clients.py
@@ -91,19 +91,19 @@
 def parse_put(args: list[bytes]) -> Put:
     """The arguments of MSG.PUT."""
     if len(args) != 4:
-        raise BadRequest("wrong number of arguments for 'MSG.PUT'")
+        raise BadRequest("wrong number of arguments for 'MSG.PUT', must be key, id, fields and body")
     order, ident, named, body = args
     if not WORD.fullmatch(ident):
-        raise BadRequest("id: must be printable characters")
+        raise BadRequest("id: must be 1 to 256 printable characters")
     try:
         fields = dict(pair.split("=", 1) for pair in named.decode().split(",") if pair)
     except ValueError:
         raise BadRequest("fields: must be name=value, with commas between") from None
     key = fields.get("k", "")
     if key and not WORD.fullmatch(key.encode()):
-        raise BadRequest("k: must be printable characters")
+        raise BadRequest("k: must be 1 to 256 printable characters")
     if "c" not in fields:
-        raise BadRequest("c: lacks")
+        raise BadRequest("c: lacks, must name a class")
     dest = _number(fields, "dest") if "dest" in fields else -1
     return Put(ident.decode(), order_key(order), fields["c"], fields.get("t"), _number(fields, "d"), dest,
                key, fields.get("r") == "1", body, fields.get("to", ""), fields.get("path", ""),
@@ -314,7 +314,7 @@
                 self._take_no_more()
                 reply.send(b"+OK\r\n")
             else:
-                raise BadRequest("unknown command")
+                raise BadRequest("unknown command, must be MSG.PUT, PING or QUIT")
         except BadRequest as error:
             self._turn_down(reply, error)
         else:
@@ -501,7 +501,7 @@
 
 
 def _line(text: str) -> bytes:
-    return " ".join(text.split()).encode("ascii", "replace")[:200]
+    return " ".join(text.split()).encode("ascii", "replace")[:500]
 
 
 class ClientServer:
