KNOWN-RED.txt: tests known to fail are run, expected to fail and told; its lines are held to it

tests/conftest.py reads the file where it is there (absent is the aim). Those named are strict expected failures, also where they carry a mark of their own; the summary prints them. The run fails where a line's test passes, was left out or does not exist, on a fourth line, on a line twice or of another form. Under xdist the lines are judged in the process that reports, by the reports, since only workers collect.

--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,90 @@
+"""Tests known to fail for a real fault: KNOWN-RED.txt at the root, absent where there is none.
+
+A line is `tests/test_x.py::test_y | cause | issue number`, three lines at most. Those tests are run as strict
+expected failures and told at the end; a line whose test passes, is not run or does not exist fails the run.
+What does not exist is known of a whole run only: one that is given files, or any option that selects, passes
+over the others.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+import pytest
+
+FILE = "KNOWN-RED.txt"
+MOST = 3
+FORM = "tests/FILE.py::TEST | cause | issue number"
+TEST = re.compile(r"\S+\.py::\S.*")
+SELECTING = ("keyword", "markexpr", "lf", "deselect", "ignore", "ignore_glob", "stepwise", "collectonly")
+
+
+@dataclass(frozen=True)
+class Known:
+    """One line."""
+
+    test: str
+    cause: str
+    issue: int
+
+
+def read(text: str) -> dict[str, Known]:
+    """The lines by test; ValueError says which can't be used."""
+    known: dict[str, Known] = {}
+    lines = text.splitlines()
+    for number, line in enumerate(lines, 1):
+        test, cause, issue = line.split(" | ") if line.count(" | ") == 2 else ("", "", "")
+        if not (TEST.fullmatch(test) and cause.strip() and issue.isdecimal()):
+            raise ValueError(f"line {number}: must be '{FORM}', not {line!r}")
+        if test in known:
+            raise ValueError(f"line {number}: {test} stands there twice")
+        known[test] = Known(test, cause, int(issue))
+    if len(lines) > MOST:
+        raise ValueError(f"{len(lines)} lines, where {MOST} may stand: mend these first")
+    return known
+
+
+class KnownRed:
+    """Expects the failures, wherever the tests are run, and judges the lines, in the process that reports."""
+
+    def __init__(self, known: dict[str, Known], whole: bool) -> None:
+        self.known, self.whole = known, whole
+        self.red: set[str] = set()  # that failed, as expected
+
+    def pytest_itemcollected(self, item: pytest.Item) -> None:
+        if item.nodeid in self.known:  # ahead of marks of its own, since the first of them counts
+            cause = self.known[item.nodeid].cause
+            item.add_marker(pytest.mark.xfail(reason=cause, strict=True), append=False)
+
+    def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
+        if report.nodeid in self.known and report.skipped and hasattr(report, "wasxfail"):
+            self.red.add(report.nodeid)
+
+    def unmet(self) -> list[Known]:
+        return [known for known in self.known.values() if known.test not in self.red] if self.whole else []
+
+    def pytest_sessionfinish(self, session: pytest.Session) -> None:
+        if self.unmet() and not hasattr(session.config, "workerinput"):
+            session.exitstatus = session.exitstatus or pytest.ExitCode.TESTS_FAILED
+
+    def pytest_terminal_summary(self, terminalreporter: pytest.TerminalReporter) -> None:
+        terminalreporter.section(FILE)
+        for known in self.known.values():
+            if known.test in self.red:
+                terminalreporter.line(f"fails as known: {known.test} (issue {known.issue}): {known.cause}")
+        for known in self.unmet():
+            terminalreporter.line(f"ERROR: it passed, was not run or does not exist: {known.test}")
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    path = config.rootpath / FILE
+    if not path.exists():
+        return
+    try:
+        known = read(path.read_text())
+    except ValueError as error:
+        raise pytest.UsageError(f"{FILE}: {error}") from None
+    whole = config.args_source is not pytest.Config.ArgsSource.ARGS
+    whole = whole and not any(config.getoption(name, None) for name in SELECTING)
+    config.pluginmanager.register(KnownRed(known, whole), "known-red")
