--- a/madderbeam/host/admission.py
+++ b/madderbeam/host/admission.py
@@ -92,31 +92,33 @@
         """The numbers of its class and tenant."""
         cls = self.classes.get(put.cls)
         if cls is None:
-            raise BadRequest("c: no such class")
+            raise BadRequest(f"c: no such class, must be one of {', '.join(sorted(self.classes))}")
         tenant = self.tenants.get(put.tenant or "", -1) if self.tenants else 0
         if tenant < 0:
-            raise BadRequest("t: no such tenant")
+            raise BadRequest("t: no such tenant, must be one of the settings")
         if self.s.classes[cls].effect is i.Effect.KEYED and not put.key:
-            raise BadRequest("k: lacks, and the class is keyed")
-        if put.life_ms * 1000 > LONGEST * self.s.classes[cls].deadline_us:
-            raise BadRequest("d: far over the deadline of the class")
+            raise BadRequest("k: lacks, must be given for a keyed class")
+        most_ms = LONGEST * self.s.classes[cls].deadline_us // 1000
+        if put.life_ms > most_ms:
+            raise BadRequest(f"d: must be at most {most_ms}, by the deadline of the class")
         if put.topic and not self.doors:
             raise BadRequest("topic: this courier is in no federation")
         # Behind a door others may serve what this courier's list lacks: the door knows.
         if self.listing.dests and not self.doors and put.dest not in self.listing.dests:
-            raise BadRequest("dest: no such destination")
+            raise BadRequest("dest: no such destination, must be one of the list")
         return cls, tenant
 
-    def arrival(self, m: Held, weight: float = 1.0) -> i.MessageArrived:
-        """The event that tells the decision module of a message, also of one restored. `weight`: by
-        quotas."""
+    def arrival(self, m: Held, weight: float = 1.0, restored: bool = False) -> i.MessageArrived:
+        """The event that tells the decision module of a message. `weight`: by quotas; `restored`: it was
+        taken on before this process."""
         ran = m.may_have_run_at
         mono = self.journal.wall.monotonic
         # After a reboot an attempt may lie before the monotonic clock's zero: a negative time would say that
         # none may have run, and a deposit would go out again.
         ran_at = max(0, mono(ran)) if ran else -1
         return i.MessageArrived(m.number, m.cls, m.dest, mono(m.until), m.tenant, m.order,
-                                m.resubmitted, m.tries, ran_at, weight, self.routing.affinity(m))
+                                m.resubmitted, restored, m.tries, ran_at, weight,
+                                self.routing.affinity(m))
 
     def _replace(self, m: Held) -> None:
         """A key that is still open here is handed in again only by a client that gave the older one up."""
--- a/madderbeam/host/turn.py
+++ b/madderbeam/host/turn.py
@@ -128,7 +128,7 @@
             self.ends.notify(m)
             return
         if not any(claims(m) for claims in self.claims):
-            self.events.append(self.admission.arrival(m))
+            self.events.append(self.admission.arrival(m, restored=True))
         self.ends.guard(m)
 
     # The turn
@@ -224,8 +224,8 @@
         self._routed()
         self.list_told(i.ListForm.DELTA, entries)
 
-    def listed(self, change: dict[str, Any], form: i.ListForm | None = None) -> None:
-        """Discovery tells a whole list or a change of it."""
+    def listed(self, change: dict[str, Any], form: i.ListForm | None = None) -> bool:
+        """Discovery tells a whole list or a change of it; False if all should be told again."""
         form = form or (i.ListForm.FULL if change.get("all") else i.ListForm.DELTA)
         self.routing.configure(change.get("routing"))
         read = self.listing.read(change)
@@ -234,6 +234,7 @@
         for entry, address in read:
             self.calls.place(entry.endpoint, address, self.listing.topics.get(entry.endpoint, ""))
         if form is not i.ListForm.DELTA:
+            entries += self.listing.kept(change, entries)
             for number in self.listing.unnamed(entries):
                 self.gone(number)
         for entry in entries:
@@ -244,6 +245,7 @@
         self.list_changed(entries, form)
         if form is not i.ListForm.CACHED:
             self._first()
+        return not self.listing.puzzled
 
     def list_changed(self, entries: Iterable[i.ListEntry], form: i.ListForm = i.ListForm.DELTA) -> None:
         """These are part of the list from now on."""
@@ -302,23 +304,23 @@
 
     def _leave(self) -> None:
         """The time is up: whoever has sent a request hears what became of it, also where records are written
-        slowly and more come meanwhile. SIGKILL may come amid it."""
+        slowly and more come meanwhile, and what endpoints have answered counts. SIGKILL may come amid it."""
         for _ in range(MOST_TURNS):
-            came = any([front.look() for front in self.fronts])
+            came = any([self.calls.look(), *(front.look() for front in self.fronts)])
             self.rest()
             if not came:
                 break
             for front in self.fronts:
                 front.let_go()
         for front in self.fronts:
-            front.close()
+            front.end()
         self._exit()
 
     def _stop_clients(self) -> None:
         for front in self.fronts:
             front.last_call()
             front.let_go()
-        if any(front.clients for front in self.fronts):
+        if not all(front.over for front in self.fronts):
             self.loop.call_later(0.02, self._stop_clients)
         self.maybe_exit()
 
@@ -331,7 +333,7 @@
     def maybe_exit(self) -> None:
         # What still waits for its turn may be sent until the last call must have begun.
         done = not self.calls.out and not self.journal.held and not self.events and not self.admission.arrived
-        if self.closing_at and done and not any(f.clients or f.listening for f in self.fronts):
+        if self.closing_at and done and all(front.over for front in self.fronts):
             self._exit()
 
     def _exit(self) -> None:
--- a/tests/simulation/planted.py
+++ b/tests/simulation/planted.py
@@ -1,6 +1,7 @@
 """Bugs to plant in the courier, each with the rules that it may break: they prove the checker."""
 
 import json
+import math
 import sys
 from dataclasses import dataclass, replace
 
@@ -91,7 +92,7 @@
 @bug(1, "repeat")
 def uses_a_key_past_its_window(patch):
     _classes(patch, key_window_us=60_000_000)
-    patch.setattr(Attempts, "_key_late", lambda self, m: False)
+    patch.setattr(Attempts, "_key_s", lambda self, m, ran_at: math.inf)
 
 
 @bug(5, "repeat")
@@ -584,12 +585,12 @@
 
 @bug(7, "answer")
 def closes_on_a_client_that_has_ended_its_sending(patch):
-    stop = clients.Client._stop_reading
+    stop = clients.Client._take_no_more
 
     def careless(self):
         stop(self)
         self.close()
-    patch.setattr(clients.Client, "_stop_reading", careless)
+    patch.setattr(clients.Client, "_take_no_more", careless)
 
 
 @bug(19, "ends", "refusal", "lost", "form")
@@ -609,6 +610,7 @@
 @bug(0, "books", script="lines_behind_a_spoilt_one")
 def goes_on_reading_behind_a_change_that_is_lost(patch):
     def data(self, data):
+        self._clock(discovery.CLOCK_S)
         self.after(discovery.SILENCE_S, self.open)
         *lines, self.values.part = (self.values.part + data).split(b"\n")
         for line in filter(bytes.strip, map(bytes, lines)):
