What a restart finds does not use up its tenant's share a second time

Need: all that a restart finds comes in one turn, and _share took it for a flood: on 65 messages of five tenants with a share of some 2 a second each, over 50 got over_share_worth (0.05 here) for their weight, waited behind whatever came in after the restart, and used up what that had a right to. By reading; the fact in the event (restored) tells it. Its share was counted when it came.

Test: twenty restored of one tenant, then three that come; fails without the change.

--- a/madderbeam/policy/messages.py
+++ b/madderbeam/policy/messages.py
@@ -170,7 +170,7 @@
                 continue
             if c.open or c.ramp_from >= 0 and not lane.listed:  # else the slow start goes by time (_free)
                 c.tokens = min(1.0, c.tokens + self.health.warm(c) / len(dest.lanes))
-        m.weight = m.cls.worth * self._share(e.tenant) * e.weight
+        m.weight = m.cls.worth * e.weight * (1.0 if m.restored else self._share(e.tenant))
         self.messages[m.id] = m
         full = len(self.messages) >= self.s.max_held - 1
         if full != self.crowded and (full or len(self.messages) < self.s.max_held * 0.8):
--- a/tests/test_restored.py
+++ b/tests/test_restored.py
@@ -4,7 +4,7 @@
 from test_messages import S, Host, of
 
 from madderbeam.policy.interface import (
-    EndpointsListed, EndpointState, ListEntry, ListForm, MessageArrived, Refuse, Result, Send)
+    EndpointsListed, EndpointState, ListEntry, ListForm, MessageArrived, Refuse, Result, Send, Tenant)
 
 
 def restored(h, count, life=8 * S, dest=1, tries=0):
@@ -48,3 +48,16 @@
     tried, _ = restored(h, 3, tries=1)  # these had their chance
     assert {a.message for a in of(Refuse, tried)} <= set(range(h.next - 2, h.next + 1))
     assert set(numbers) <= set(h.courier.messages)
+
+
+def test_what_a_restart_found_does_not_use_up_its_tenant_s_share_a_second_time():
+    # All of it comes in one turn: counted again, most would be over the share, worth little, and wait behind
+    # whatever comes in after the restart.
+    h = Host(tenants=(Tenant("t", 1.0, 2.0),), over_share_worth=0.05)
+    _, numbers = restored(h, 20)
+    assert {h.courier.messages[n].weight for n in numbers} == {h.courier.s.classes[0].worth}
+    first, second, third = (h.next + n for n in (1, 2, 3))
+    for _ in range(3):
+        h.arrive()
+    weights = [h.courier.messages[n].weight for n in (first, second, third)]
+    assert weights[0] == weights[1] > 10 * weights[2]  # the share of two a second is whole for what comes
