A SIGHUP amid the start waits until there is a handler, and does not end the process

Need: until host/process.py had installed its handler, SIGHUP did what it does by default. Sent 0 to 150 ms after the start of the program it ended the process (10 of 12 tries between 0 and 300 ms): a crash, where a new configuration comes while couriers are being restarted.

Test: the configuration's file is a pipe, at which the process waits amid its start; the signal ends it there without the change.

--- a/madderbeam/host/process.py
+++ b/madderbeam/host/process.py
@@ -104,6 +104,7 @@
         takeover = await upgrade.take(config, ports.disk)
         with collector_rests():
             host = start(loop, ports, env, config, control, takeover.passed)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that came meanwhile is heeded now
         takeover.done()
         if config.control:
             upgrade.Incumbent(host, takeover.lock)
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import json
+import os
+import pathlib
 import signal
+import sys
 
 import pytest
-from loopback import Client, Discovery, bounded, courier
+from loopback import ROOT, Client, Discovery, bounded, courier
 
 
 class Silent(Discovery):
@@ -108,3 +111,28 @@
     endpoint = await fleet.endpoint("a", dest=5)
     await fleet.outside()
     assert (await endpoint.call())[1]["x-request-id"] == "m1"
+
+
+@courier
+async def test_sighup_before_the_courier_has_a_handler_is_heeded_once_it_has(fleet):
+    # Its file lies in a pipe: the process waits there, amid its start, for as long as the test wants.
+    moved = await Discovery().start()
+    env = {**os.environ, **fleet.env()}
+    path = pathlib.Path(env["LB_CONFIG"])
+    config = json.loads(path.read_text())
+    path.unlink()
+    os.mkfifo(path)
+    process = fleet.process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "madderbeam", env=env, cwd=ROOT, stderr=asyncio.subprocess.PIPE)
+    loop = asyncio.get_running_loop()
+    pipe = await bounded(loop.run_in_executor(None, open, path, "w"))  # it has opened its end
+    path.unlink()
+    path.write_text(json.dumps({**config, "discovery": f"127.0.0.1:{moved.port}"}))
+    process.send_signal(signal.SIGHUP)
+    with pipe:
+        pipe.write(json.dumps(config))
+    assert b"is ready on port" in await bounded(process.stderr.readline())
+    assert "watch=1" in await bounded(moved.watches.get())
+    process.send_signal(signal.SIGTERM)
+    assert await bounded(process.wait()) == 0
+    await moved.stop()
