A strange answer is told in the log, once for each endpoint

An answer that can't be read ended its attempt as one that may have run, and nobody was told. Now the first one of an endpoint is a warning; however many follow, the log stays as it is and the next call is served (Calls.strange). Tests with noise, answers with noise behind them and bundles that leave messages out; without the change they fail for want of the line.

--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -86,6 +86,7 @@
     topic: str = ""  # of a Kafka partner
     idle: list[Connection] = field(default_factory=list)  # the most recently used last
     timers: dict[Connection, asyncio.TimerHandle] = field(default_factory=dict)
+    strange: bool = False  # an answer from there could not be read, which was told
 
 
 def single_outcome(status: int, headers: dict[str, str]) -> Outcome:
@@ -188,10 +189,13 @@
         elif self.status == 200 and self.bundle:
             wait = told_wait(self.headers)
             ends = bundle_outcomes(bytes(self.body), wait)
+            if any(item.id not in ends for item in self.items):
+                self.calls.strange(self.endpoint)
             for item in self.items:
                 # One that the answer leaves out may have run.
                 self.finish(item, ends.get(item.id, Outcome(Result.ERROR, wait_us=wait, spoilt=True)))
         elif noise:
+            self.calls.strange(self.endpoint)
             self.finish_all(Outcome(Result.ERROR, wait_us=told_wait(self.headers), spoilt=True))
         else:
             self.finish_all(single_outcome(self.status, self.headers))
@@ -199,6 +203,7 @@
 
     def spoilt(self) -> None:
         """A failed attempt that may have run."""
+        self.calls.strange(self.endpoint)
         if self.path:
             self.calls.probe_ended(self, Result.ERROR)
         self.finish_all(Outcome(Result.ERROR, wait_us=told_wait(self.headers), spoilt=True))
@@ -282,6 +287,13 @@
         self.close_idle(endpoint)
         self.pools.pop(endpoint, None)
 
+    def strange(self, endpoint: int) -> None:
+        """An answer from there could not be read: told once, however many follow."""
+        pool = self.pools.get(endpoint)
+        if pool is not None and not pool.strange:
+            pool.strange = True
+            log.warning("endpoint %d: an answer that can't be read; told once", endpoint)
+
     def close_idle(self, endpoint: int) -> None:
         if pool := self.pools.get(endpoint):
             for connection in list(pool.idle):
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -401,3 +401,33 @@
     call, = h.calls.out
     assert call.connection.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
     theirs.close()
+
+
+@pytest.mark.parametrize("text", [b"nonsense\r\n\r\n", answer(503) + b"\x00noise\r\n"])
+def test_a_strange_answer_is_told_once_and_the_next_call_is_served(text, caplog):
+    async def run(h):
+        for _ in range(3):
+            call, theirs = h.call()
+            h.told(call, theirs, text)
+            outcome, = h.outcomes
+            assert outcome.result is Result.ERROR and outcome.spoilt
+            theirs.close()
+        call, theirs = h.call()
+        h.told(call, theirs, answer(200))
+        assert h.outcomes == [DELIVERED]
+        theirs.close()
+    with caplog.at_level("WARNING"):
+        held(run)()
+    assert len([r for r in caplog.records if "can't be read" in r.message]) == 1
+
+
+def test_a_strange_answer_to_a_bundle_is_told_once(caplog):
+    async def run(h):
+        for body in (b"[]", b"{", b'[{"id":"a","state":"done"}]'):
+            call, theirs = h.call("a", "b")
+            h.told(call, theirs, answer(200, body))
+            assert len(h.outcomes) == 2
+            theirs.close()
+    with caplog.at_level("WARNING"):
+        held(run)()
+    assert len([r for r in caplog.records if "can't be read" in r.message]) == 1
