A message's time runs on while its request is held back

Need: requests behind a strike or behind many at once wait in the courier's buffer; their messages were given their whole time from when they were handled, and may then be delivered after it. They are given what is left.

--- a/madderbeam/transport/clients.py
+++ b/madderbeam/transport/clients.py
@@ -209,6 +209,7 @@
         self.due = self.since + WHOLE_S  # when it is closed, unless more has come
         self.dropped = 0  # bytes
         self.reading = self.handling = False
+        self.stopped_at = self.since  # when it was last read from, while it is not
         self.pause: asyncio.Handle | None = None  # at its end requests are taken again
         self._read_on(True)
 
@@ -226,7 +227,7 @@
 
     def _read_on(self, on: bool) -> None:
         if on is not self.reading:
-            self.reading = on
+            self.reading, self.stopped_at = on, self.loop.time()
             if on:
                 self.network.on_readable(self.sock, self._readable)
             else:
@@ -323,8 +324,11 @@
                 self._rests()
 
     def _since_sent(self, put: Put) -> Put:
-        """A message's time runs from when it was sent: the first one may have waited with its connection."""
+        """A message's time runs from when it was sent: the first one may have waited with its connection, and
+        any behind others that held it back."""
         waited, self.waited_ms = self.waited_ms, 0
+        if not self.reading:
+            waited += int((self.loop.time() - self.stopped_at) * 1e3)
         return replace(put, life_ms=max(0, put.life_ms - waited)) if waited else put
 
     def _turn_down(self, reply: Reply, error: BadRequest) -> None:
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -169,6 +169,21 @@
     assert await flood.answers(3000) == b"+PONG\r\n" * 3000
 
 
+@door()
+async def test_what_is_held_back_goes_on_in_another_process(made, _):
+    client, held = await made.client()
+    count = 5 * server.PIPELINE
+    client.send(b"".join(c(b"PING", b"%d" % n) for n in range(count)))
+    await until(lambda: not held.reading)
+    other = Door()
+    state, sock = held.state(), held.sock.dup()
+    held.close()  # what the process before does
+    other.server.adopt(sock, state)
+    got = await client.answers(2 * count)
+    other.server.close()
+    assert got.split(b"\r\n")[1::2] == [b"%d" % n for n in range(count)]
+
+
 # The end over what is still unread
 
 ENDS = {
@@ -399,9 +414,14 @@
         self.scheduler, self.link = Scheduler(1), Link()
         loop = ProcessLoop(self.scheduler)
         self.net = SimNetwork(loop, {}, self.link, random.Random(1), lambda name: False, 100)
-        self.server = ClientServer(loop, self.net, lambda put, reply: reply.taken(), places)
+        self.put = []
+        self.server = ClientServer(loop, self.net, self._put, places)
         self.server.listen("10.0.0.1", 1)
 
+    def _put(self, put, reply):
+        self.put.append(put)
+        reply.taken()
+
     def run(self, seconds):
         self.scheduler.run(self.scheduler.now_us + int(seconds * 1e6))
 
@@ -433,6 +453,17 @@
     assert len(pieces) > 2 * server.SLOW_S and client.got == OK * 40
 
 
+def test_the_time_in_which_a_message_is_held_back_counts():
+    world = World(Places(50))
+    client = Distant(world, message("m1", life=900) + c(b"NOPE") + message("m2", life=900))
+    world.run(1)
+    assert client.got == OK + TURNED_DOWN + OK
+    assert [put.life_ms for put in world.put] == [900, 900 - server.PAUSE_S * 1000]
+    Distant(world, message("m3", life=900))
+    world.run(1)
+    assert world.put[-1].life_ms == 900
+
+
 def test_for_room_none_is_closed_whose_answer_is_not_sent():
     world = World(Places(1))
     world.link.window = 4
