--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -51,7 +51,7 @@
 
     def __init__(self, places=None, hold=False):
         loop = asyncio.get_running_loop()
-        self.put, self.replies = [], []
+        self.put, self.replies, self.plains = [], [], []
         self.server = ClientServer(loop, RealNetwork(loop), self._put, places or Places(50))
         self.hold = hold
         self.port = self.server.listen("127.0.0.1", 0)
@@ -66,6 +66,7 @@
     async def client(self, useful=True):
         """One that is connected; `useful`: and has been answered."""
         plain = Plain(self.port)
+        self.plains.append(plain)
         if useful:
             plain.send(c(b"PING"))
             assert await plain.answers(1) == b"+PONG\r\n"
@@ -90,6 +91,8 @@
                     await test(made, monkeypatch)
                 finally:
                     made.server.close()
+                    for plain in made.plains:
+                        plain.sock.close()
             asyncio.run(inner())
         run.__name__, run.__doc__ = test.__name__, test.__doc__
         return run
@@ -277,6 +280,15 @@
     assert list(made.server.clients) == [clients[n][1] for n in (0, 2, 3)]
 
 
+@door(places=Places(4, 0.0))
+async def test_one_that_may_not_rest_is_shut_behind_all_that_it_has_sent(made, _):
+    client = Plain(made.port)
+    made.plains.append(client)
+    client.send(c(b"PING") * 100 + message("m1"))
+    client.sock.shutdown(socket.SHUT_WR)
+    assert await client.rest() == b"+PONG\r\n" * 100 + OK
+
+
 @door(places=Places(4, 1.0))
 async def test_for_room_those_go_first_that_only_wait_for_their_clients(made, _):
     clients = [await made.client() for _ in range(4)]
