--- a/madderbeam/transport/clients.py
+++ b/madderbeam/transport/clients.py
@@ -223,7 +223,7 @@
     def look(self) -> bool:
         """Read what has come by now, also in a pause; whether anything had."""
         came = self.pause is not None and self._go_on()
-        return self.reading and not self.handling and self._readable() or came
+        return self.reading and self._readable() or came
 
     def _read_on(self, on: bool) -> None:
         if on is not self.reading:
