--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -363,6 +363,42 @@
     assert not made.server.clients and not made.server.leaving
 
 
+@door()
+async def test_as_the_process_ends_what_a_client_has_made_room_for_is_sent(made, _):
+    client, held = await made.client()
+    answer = b"$500\r\n%s\r\n" % (b"x" * 500)
+
+    async def send():
+        while True:
+            await client.loop.sock_sendall(client.sock, c(b"PING", b"x" * 500) * 100)
+    sending = asyncio.create_task(send())
+    await until(lambda: held.unsent)
+    sending.cancel()
+    got, rest = 0, len(held.unsent)
+    with pytest.raises(BlockingIOError):
+        while True:
+            got += len(client.sock.recv(1 << 20))
+    assert (got + rest) % len(answer) == 0 and got % len(answer)
+    made.server.end()
+    assert not held.unsent and held.phase is Phase.CLOSED
+    assert len(await client.rest()) == rest
+
+
+@courier
+async def test_a_planned_end_waits_for_those_that_are_shut_and_no_longer_than_it_may(fleet):
+    await fleet.endpoint("a")
+    first = await fleet.inside()
+    first.writer.close()
+    host, client = fleet.host, Plain(fleet.port_of_host())
+    client.send(message("m1"))
+    assert await client.answers(1) == OK
+    host.terminate()
+    assert await client.rest() == b""
+    assert host.clients.leaving and not host.closed.done()
+    await bounded(host.closed)
+    assert host.loop.time() < host.closing_at and not host.clients.leaving
+
+
 # Requests in pieces
 
 FORMS = {
