--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -155,6 +155,21 @@
     await bounded(sending)
 
 
+@door(hold=True)
+async def test_answers_that_wait_for_an_earlier_one_are_bounded(made, _):
+    client, held = await made.client()
+    count, size = 30, 10_000
+    sending = asyncio.create_task(client.loop.sock_sendall(
+        client.sock, message("m1") + c(b"PING", b"x" * size) * count))
+    await until(lambda: held.held > server.UNSENT)
+    for _ in range(50):
+        await asyncio.sleep(0)
+        assert held.held <= server.UNSENT + size + 100 and not held.reading
+    made.replies[0].taken()
+    assert await client.answers(1 + 2 * count) == OK + (b"$%d\r\n%s\r\n" % (size, b"x" * size)) * count
+    await bounded(sending)
+
+
 @door()
 async def test_a_flood_takes_no_more_than_its_share_of_a_turn(made, monkeypatch):
     flood, flooding = await made.client()
@@ -216,14 +231,12 @@
 
 @door()
 async def test_who_sends_without_end_behind_its_last_answer_is_cut_off(made, _):
-    client, _ = await made.client()
+    client, held = await made.client()
     client.send(b"*x\r\n")
-    sent = 0
     with pytest.raises(ConnectionError):
         while True:
             await bounded(client.loop.sock_sendall(client.sock, b"x" * 50_000))
-            sent += 50_000
-    assert sent >= server.LINGER_BYTES
+    assert server.LINGER_BYTES <= held.dropped <= server.LINGER_BYTES + (1 << 16)
     assert made.server.leaving == {}
 
 
@@ -462,13 +475,16 @@
         self.scheduler, self.link = Scheduler(1), Link()
         loop = ProcessLoop(self.scheduler)
         self.net = SimNetwork(loop, {}, self.link, random.Random(1), lambda name: False, 100)
-        self.put = []
+        self.put, self.answer_s = [], 0.0
         self.server = ClientServer(loop, self.net, self._put, places)
         self.server.listen("10.0.0.1", 1)
 
     def _put(self, put, reply):
         self.put.append(put)
-        reply.taken()
+        if self.answer_s:
+            self.server.loop.call_later(self.answer_s, reply.taken)
+        else:
+            reply.taken()
 
     def run(self, seconds):
         self.scheduler.run(self.scheduler.now_us + int(seconds * 1e6))
@@ -501,6 +517,36 @@
     assert len(pieces) > 2 * server.SLOW_S and client.got == OK * 40
 
 
+def test_those_that_write_slowly_on_new_connections_are_not_taken_for_silent():
+    world, text = World(Places(8)), message("m1")
+    assert world.server.idle_most < 4
+    clients = [Distant(world, *(text[n:n + 10] for n in range(0, len(text), 10)), every_us=500_000)
+               for _ in range(4)]
+    world.run(len(text) / 20 + 1)
+    assert [client.got for client in clients] == [OK] * 4
+
+
+def test_who_reads_its_answers_slowly_and_goes_on_gets_them_all():
+    world = World(Places(50))
+    world.link.window = len(OK)
+    client = Distant(world, message("m1") * 30)
+    client.stream.paced = True
+    for _ in range(30):
+        world.run(0.5)
+        client.stream.peer_took(client.stream.under_way)
+    world.run(0.1)
+    assert client.got == OK * 30
+
+
+def test_half_a_request_behind_an_answer_has_its_own_time():
+    world = World(Places(50, idle_s=60.0))
+    client = Distant(world, message("m1"), message("m2") + message("m3")[:-1], every_us=100_000)
+    world.run(0.09)
+    world.answer_s = 0.5
+    world.run(server.WHOLE_S + 1)
+    assert client.got == OK * 2 + b"-ERR the request did not become whole in time\r\n"
+
+
 def test_the_time_in_which_a_message_is_held_back_counts():
     world = World(Places(50))
     client = Distant(world, message("m1", life=900) + c(b"NOPE") + message("m2", life=900))
