--- a/tests/simulation/planted.py
+++ b/tests/simulation/planted.py
@@ -443,7 +443,7 @@
     patch.setattr(calls.Calls, "adopt", lambda self, sock, state: None)
 
 
-@bug(30, "answer", "lost", "form")
+@bug(378, "answer", "lost", "form")
 def an_upgrade_loses_what_was_read_of_a_request(patch):
     state = clients.Client.state
     patch.setattr(clients.Client, "state",
