Answers that stand unread are read before a call's first byte, where its record took long

But where the disk held the process up, an answer that came meanwhile stands unread as the record's `go` writes the call: with 150 ms for one write the next call went out 151 ms after an answer with a wait of 0.7 s was written, both with the record of taking it on and with that of its attempt (transport/calls.py `_write`, `_begun`). The rule lets through what comes within 100 ms.

Change: a call whose first byte comes over 20 ms after its choice reads first what has come for the others.

--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -21,6 +21,7 @@
 IDLE_EACH = 8  # idle connections kept to one endpoint
 TAIL_S = 0.5  # an answer that has begun must be whole within this: one that can't end would hold its slot
 MAX_ANSWER = 64 * 1024  # bytes of its body, as the protocol has it
+SLOW_S = 0.02  # from a call's choice to its first byte; a wait that was told binds 100 ms later
 MAX_WAIT_S = 120.0  # a told wait over this is none that a destination would tell
 STATES = {"done": Result.OK, "failed": Result.ERROR, "busy": Result.FULL, "void": Result.MOOT,
           "used_up": Result.MOOT}
@@ -477,10 +478,19 @@
             self._keep(call.endpoint, connection)
             return
         if items:
-            self.hooks.begin(items, lambda may: self._begun(call, connection, may))
+            self.hooks.begin(items, lambda may: self._recorded(call, connection, may))
         else:
             self._begun(call, connection, True)
 
+    def _recorded(self, call: Call, connection: Connection, may: bool) -> None:
+        """Its record is written. Where that, or its connection, took time, answers that stand unread by now
+        are read first: a wait that one of them tells holds for this call too."""
+        if self.loop.time() - call.started > SLOW_S:
+            for other in list(self.out):
+                if other is not call:
+                    other.look()
+        self._begun(call, connection, may)
+
     def _begun(self, call: Call, connection: Connection, may: bool) -> None:
         if call not in self.out:  # given up while its record was written, and its connection with it
             return
