Test of the clock on sockets: orders that no busy machine changes, its hold-ups measured

Seen: 1 of 20 runs in a row failed, told after 7.8 s. Followed with four copies side by side: the machine held the loop up by over 0.1 s, and a turn-away that is read so late leaves under 3.0 s to the clock's end, so that the next call is begun only there (as meant), and that one hung as the script had it. The order turned away, then hangs is played on the virtual loop, where nothing is late; here two orders that fail whatever is late, and what the loop was held up by is measured and added to the bound in place of a flat 0.7 s. With the clock undone it fails: 8.2 s.

--- a/tests/test_list_clock_sockets.py
+++ b/tests/test_list_clock_sockets.py
@@ -12,7 +12,7 @@
 from madderbeam.ports.real import real_ports
 from madderbeam.transport.discovery import Watch
 
-LAG_S = 0.7  # of a busy machine
+LAG_S = 0.2  # of a machine at rest; what a busy one takes beyond that is measured
 
 
 def line(rev):
@@ -47,6 +47,21 @@
                  lambda change: heard.put_nowait((loop.time(), change["rev"])))
 
 
+class Lag:
+    """Seconds by which this process was held up."""
+
+    def __init__(self):
+        self.total = 0.0
+        self.task = asyncio.get_running_loop().create_task(self.measure())
+
+    async def measure(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + 0.02
+            await asyncio.sleep(0.02)
+            self.total += max(0.0, loop.time() - due - 0.005)
+
+
 async def told_after(*script):
     """Seconds from the last word of a watch that falls silent to the next, with this in between."""
     discovery, heard = await Scripted("well", *script).start(), asyncio.Queue()
@@ -61,12 +76,16 @@
     return at - last
 
 
-def test_a_turn_away_and_a_call_that_hangs_behind_a_silence_keep_the_clock():
+def test_two_calls_that_fail_behind_a_silence_keep_the_clock():
     # 7.4 to 8.2 s before: 3.2 of silence, then each wait by itself.
     async def test():
-        return await asyncio.gather(told_after("turned away", "hangs"), told_after("hangs", "half"),
+        lag = Lag()
+        took = await asyncio.gather(told_after("hangs", "hangs"), told_after("hangs", "half"),
                                     told_after("half", "turned away"))
-    assert max(asyncio.run(test())) <= 6.0 + LAG_S
+        lag.task.cancel()
+        return max(took), lag.total
+    took, lag = asyncio.run(test())
+    assert took <= 6.0 + LAG_S + lag
 
 
 def test_a_connection_that_does_not_come_up_is_tried_anew_and_the_list_heard():
@@ -88,7 +107,7 @@
         for filler in fillers:
             filler.close()
         listener.setblocking(False)
-        room, accepted = loop.time(), []
+        room, accepted, lag = loop.time(), [], Lag()
 
         async def answers():
             while True:
@@ -105,12 +124,13 @@
         at, rev = await bounded(heard.get())
         watch.stop()
         server.cancel()
+        lag.task.cancel()
         listener.close()
         for one in accepted:
             one.close()
-        return at - room, rev
-    took, rev = asyncio.run(test())
-    assert rev == 2 and took <= 2.0 + LAG_S
+        return at - room, rev, lag.total
+    took, rev, lag = asyncio.run(test())
+    assert rev == 2 and took <= 2.0 + LAG_S + lag
 
 
 @courier
