A turn-away that is read late still leaves time for two calls within the list's clock

Seen on a busy machine: a turn-away that was read 0.1 s late left under 3.0 s to the clock's end, so the next call, which would have lacked 0.1 s of its 2.1 s there, was begun at the end, and nothing was left when it hung: told after 7.8 s. Up to 0.5 s of a call's time may lack now. No list is made in vain by it: the waits behind a second turn-away are 1.35 s and more, and lack more than that.

--- a/madderbeam/transport/discovery.py
+++ b/madderbeam/transport/discovery.py
@@ -27,6 +27,7 @@
 # The same where discovery turned the watch away: all that ask again so keep it busy.
 BUSY_S = (0.9, 2.7)
 BUSY_FLOOR_S = 0.5
+LATE_S = 0.5  # of a call's time that may lack, where what came before it was read late
 TIMER_S = 0.01  # a timer may come so much early
 NOTICE_AGAIN_S = 0.1  # the longest for notices, which are owed 300 ms after a message's time is up
 NOTICE_S = 1.0  # a notice is answered at once: after this it is sent again
@@ -170,7 +171,7 @@
         self.connection.close()
         wait, left = self.backoff.busy(), self.clock_end - self.loop.time()
         # A call that the clock's end would cut amid discovery's queue is work for nothing: it begins there.
-        self.after(left if wait < left < wait + CALL_S - TIMER_S else wait, self.open)
+        self.after(left if wait < left < wait + CALL_S - LATE_S else wait, self.open)
 
     def data(self, data: bytes) -> None:
         if self.connection is None or self.connection.closed:
--- a/tests/simulation/test_list_clock.py
+++ b/tests/simulation/test_list_clock.py
@@ -82,8 +82,9 @@
         text = json.dumps({"rev": rev, "all": True, "targets": []}).encode()
         if way == "turned away":
             self.write(b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n")
-        elif way == "turned away late":
-            self.after(2 * S, self.write, b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n")
+        elif way in ("turned away late", "turned away slowly"):
+            wait = 2 * S if way.endswith("late") else S * 3 // 10
+            self.after(wait, self.write, b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n")
         elif way == "an end":
             self.stream.finish()
         elif way == "a reset":
@@ -182,6 +183,18 @@
     assert play.told(2) is not None, [(at - last) / S for at in play.discovery.asked]
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_a_turn_away_that_is_read_late_leaves_time_for_two_calls(seed):
+    # As on a busy machine: the second call began at the clock's end, and hung behind it.
+    play = Play(seed)
+    last = play.open(2 * S)
+    left = ["turned away slowly", "no byte"]
+    play.discovery.silence(lambda: left.pop(0) if left else "well")
+    play.discovery.rev = 2
+    play.until(last + TOLD)
+    assert play.told(2) is not None, [(at - last) / S for at in play.discovery.asked]
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("way", [*WAYS, "mixed"])
 def test_what_discovery_has_at_its_return_is_told_6_s_later_also_if_a_call_fails_behind_it(way, seed):
