A returning destination gets its due from the sum of all couriers, whatever their number

Seen: with 5, 20 and 30 couriers that have more slots than there are couriers, destinations that were out for 8 s and cold for 12 got up to 59 calls in 2 s where they bear 28 and 12 for chance (simulation, four kinds of outage). The careful ramp was on only if couriers > slots. Below that each courier had a whole token per endpoint at the return, floors of 0.5 and 0.05 a second of its own, trials each 1 to 2.5 s of its own, and three failures per endpoint before it took notice at all: sums that nobody bounded. The endpoint added amid a slow start had a whole token as well.

Now one rule. A courier's part of what may come is 0.8 of the fall multiple times what is warm, of its part of the rate; what one alone would do by reflex (token, floors) is shared by the couriers. Trials of the fleet are as far apart as that part says; one courier alone keeps its clock. Where a call or two of each courier are more than N + 2 x root of N + 2, the destination has one circuit, as in fleets over the slots. It closes only once nothing waits: what had queued up was sent in one go. As trials are spread over the fleet they are a slow start by themselves, so each courier's own begins half of their distance further on, in fleets over the slots too: the sum has room for it. An unlisted one goes by time after the return; by arrivals as well it was twice its part.

The simulation has slots and the cold time in its scripts.

--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -5,7 +5,7 @@
 import math
 import random
 
-from madderbeam.policy.interface import Action, Log, Result, Settings
+from madderbeam.policy.interface import Action, EndpointState, Log, Result, Settings
 from madderbeam.policy.state import Call, Circuit, Endpoint, Lane
 
 REFUSED_MEMORY, KIND_MEMORY = 0.5, 1 / 16  # weight of the newest call in the share refused: lane, kind
@@ -127,7 +127,7 @@
             ep.idle.clear()
             if now - ep.last_ok < FRESH_US and ep.out:  # a full connection table, not a dead endpoint
                 return
-            if self.thin and self.alone_in_trouble(ep):  # an old list: no outage of the destination
+            if lane.circuit and self.alone_in_trouble(ep):  # an old list: no outage of the destination
                 ep.connect_at, ep.turned = now + SIBLING_US // 2 + self.backoff(ep.turned), ep.turned + 1
                 return
         if result in (Result.ERROR, Result.TIMEOUT, Result.RESET):
@@ -140,12 +140,10 @@
         ep.c.bad += MEMORY * (1 - ep.c.bad) * (1 - lost)
         if ep.c.ramp_from >= 0 and ep.c.bad >= STRUCK / 2:
             ep.c.ramp_from = now
-        # In a large fleet one failure opens it, or two lost calls: three each of hundreds of couriers are
-        # more than a cold destination bears. One may be chance: the next answer closes it.
-        first = self.thin and result is not Result.FULL
-        first = first and (result is not Result.TIMEOUT or ep.c.bad >= TWICE)
-        if ep.c.bad >= STRUCK or ep.c.open and call is ep.c.trial or first:
-            if result is not Result.ERROR or self.thin:
+        # Where a call of each courier is too much one failure opens it, or two lost calls; an answer closes it.
+        one = lane.circuit and (ep.c.bad >= TWICE if result is Result.TIMEOUT else result is not Result.FULL)
+        if ep.c.bad >= STRUCK or ep.c.open and call is ep.c.trial or one:
+            if result is not Result.ERROR or lane.circuit:
                 self.trip(ep, result.value)
                 return
             # It answers, but with errors: some calls still get through, so it goes on at a cold start's pace,
@@ -153,6 +151,7 @@
             if ep.c.ramp_from < 0:
                 self.actions.append(Log(f"endpoint {ep.id} answers with errors: cold pace"))
             self.base(ep)
+            ep.c.tokens = min(ep.c.tokens, 1 / self.s.couriers)
             ep.c.open, ep.c.gap, ep.c.ramp_from = False, 0, now
 
     def table_full(self, ep: Endpoint, result: Result, call: Call, latency: int, told: int) -> bool:
@@ -208,7 +207,7 @@
         if 0 <= lane.failing_from <= call.sent_at:
             # Trouble that was there as this courier began, or first came there, may be older than it knows.
             long = first or lane.failing_from < max(now - SPELL_US, self.start + SPELL_US)
-            if long and lane.failures >= OUT and not self.thin:
+            if long and lane.failures >= OUT and not lane.circuit:
                 self.returned(lane)
             lane.failing_from, lane.failures = -1, 0
         self.refused[lane.dest.kind] *= 1 - KIND_MEMORY
@@ -222,18 +221,18 @@
             lane.rate = min(top, lane.rate + step * (lane.listed or lane.rate))
             if self.thin and not lane.lent and not lane.dest.queue and now - lane.cut_at > CALM_US:
                 lane.rate = 0.0
-        if ep.c.open and (call.sent_at >= ep.c.opened_at or self.thin):  # else sent before it was shut
+        if ep.c.open and (call.sent_at >= ep.c.opened_at or lane.circuit):  # else sent before it was shut
             ep.c.open = False
-            if spell and not self.thin:
+            if spell and not lane.circuit:
                 ep.c.ramp_from, ep.c.stamp = ep.c.ramped, now
                 self.actions.append(Log(f"endpoint {ep.id} answers again: it was a spell"))
-            elif not self.thin or ep.c.bad >= TWICE * (1 - MEMORY):  # one failure was no outage
-                ep.c.ramp_from = ep.c.stamp = now
-                if not self.thin:
-                    ep.c.tokens = 1.0
+            elif not lane.circuit or ep.c.bad >= TWICE * (1 - MEMORY):  # one failure was no outage
+                self.chill(ep, now)  # the spread of the fleet's trials is half of a slow start by itself
+                ep.c.ramp_from = max(0, now - self.apart(ep) // 2)
                 self.actions.append(Log(f"endpoint {ep.id} answers again: slow start"))
             ep.c.gap, ep.c.bad = 0, min(ep.c.bad, STRUCK * 0.8)
-        elif 0 <= ep.c.ramp_from <= now - self.s.cold_us or self.thin and self.warm(ep.c) >= 1:
+        elif 0 <= ep.c.ramp_from <= now - self.s.cold_us or (
+                lane.circuit and self.warm(ep.c) >= 1 and not lane.dest.queue):
             ep.c.ramp_from = -1
 
     def failed(self, lane: Lane, call: Call, weight: int) -> None:
@@ -243,8 +242,7 @@
         lane.failures += weight
 
     def returned(self, lane: Lane) -> None:
-        """Nothing was answered for more than a spell: an outage mostly takes all endpoints, so those that no
-        call met in it are cold as well."""
+        """Out for over a spell. Mostly that takes all endpoints: those that no call met are cold too."""
         lane.back_at = self.now
         self.actions.append(Log(f"destination {lane.dest.number} answers again: slow start"))
         for ep in lane.endpoints.values():
@@ -255,15 +253,13 @@
     def chill(self, ep: Endpoint, since: int, part: float = 1.0) -> None:
         """Slow start, as of an endpoint that has come back then. `part`: others start with it."""
         self.base(ep)
-        ep.c.most = SPARE if part < 1 else 1.0
+        ep.c.most = SPARE if part < 1 or ep.lane.circuit else 1.0
         if part < 1:  # one of them was answered: no trial is needed
             ep.c.open, ep.c.gap = False, 0
-            more = max(ep.lane.listed or ep.lane.seen, self.own(ep.lane), 0.5 * part)
-            ep.c.base = ep.c.base if ep.lane.lent else more
         if ep.c.open:  # from its first answer on
             ep.c.ramped = since
             return
-        ep.c.ramp_from, ep.c.stamp, ep.c.tokens = since, self.now, part
+        ep.c.ramp_from, ep.c.stamp, ep.c.tokens = since, self.now, min(part, 1 / self.s.couriers)
 
     def overloaded(self, lane: Lane, told: int) -> None:
         """A refusal as full: pace down, close the window, and wait as told (or a jittered wait)."""
@@ -290,14 +286,15 @@
         return ep.dirty * max(0.0, 1 - (self.now - ep.dirty_at) / max(1.0, DIRTY_FADE * self.s.cold_us))
 
     def base(self, ep: Endpoint) -> None:
-        # A lane that fails over and over shows few successes: its warm rate is the best one seen. But the
-        # floors of hundreds of couriers add up: there it is the own traffic, whose sum follows the total.
-        floor = max(ep.c.base, ep.lane.listed or ep.lane.seen * SPARE, 0.5)
-        ep.c.base = (ep.lane.listed or self.own(ep.lane)) if self.thin or ep.lane.lent else floor
+        """Its part of the rate. Unlisted: its own traffic, whose sum is all, or its part of one's alone."""
+        own = ep.lane.dest.arrivals / max(self.now - self.start, self.s.cold_us, 1) * 1e6
+        alone = max(ep.lane.seen * SPARE, 0.5) / self.s.couriers
+        ep.c.base = ep.lane.listed or max(ep.c.base, own, alone)
 
-    def own(self, lane: Lane) -> float:
-        """This courier's own traffic there, a second."""
-        return lane.dest.arrivals / max(self.now - self.start, self.s.cold_us, 1) * 1e6
+    def crowded(self, rate: float) -> bool:
+        """Whether a call or two of each courier, over four, push a destination of that rate as it returns."""
+        n = self.s.fall_multiple * self.s.cold_share * rate * self.s.rates_listed * self.s.fall_us / 1e6
+        return self.thin or 1.5 * self.s.couriers > max(6.0, n + 2 * math.sqrt(n) + 2)
 
     def trip(self, ep: Endpoint, sign: str) -> None:
         """Open the circuit: only trials, with growing jittered gaps."""
@@ -305,12 +302,22 @@
             ep.c.opened_at = self.now if sign == "shut" else 0
             ep.c.ramped = ep.c.ramp_from  # a spell amid a slow start does not end it
             self.base(ep)
-            if self.thin and ep.c.ramp_from < 0:
+            if ep.lane.circuit and ep.c.ramp_from < 0:
                 ep.c.tokens = self.random.random()  # chance sets who may try first
             self.actions.append(Log(f"endpoint {ep.id} in trouble ({sign}): trials only"))
         ep.c.open, ep.c.ramp_from = True, -1
-        ep.c.gap = min(ep.lane.trial_gap or GAP_CAP_US, ep.c.gap * 2 or GAP_US)
-        ep.c.trial_at = self.now + int(self.random.uniform(0.5, 1) * ep.c.gap)
+        apart = self.apart(ep)
+        ep.c.gap = min(ep.lane.trial_gap or max(GAP_CAP_US, 2 * apart), max(GAP_US, apart, 2 * ep.c.gap))
+        ep.c.trial_at = self.now + int(self.random.uniform(0.5 / self.s.couriers, 1) * ep.c.gap)
+
+    def apart(self, ep: Endpoint) -> int:
+        """Time between a courier's trials at which those of the fleet are what an endpoint bears, in us."""
+        return int((1 - 1 / self.s.couriers) / self.pace(ep) * 1e6)
+
+    def pace(self, ep: Endpoint) -> float:
+        """Calls a second that an endpoint may get from this courier as it returns: its part of all."""
+        ready = sum(x.state is EndpointState.READY for x in ep.lane.endpoints.values()) or 1
+        return max(self.warm(ep.c) * ep.c.base / (1 if ep.lane.circuit else ready), 0.05 / self.s.couriers)
 
     def timeout(self, lane: Lane) -> int:
         tail = lane.dev * TAIL_X * math.log(1 / (ALIVE * self.loss))
--- a/madderbeam/policy/messages.py
+++ b/madderbeam/policy/messages.py
@@ -147,7 +147,7 @@
         dest = self.dests.setdefault(entry.destination, Destination(entry.destination))
         dest.kind = min(entry.kind, len(self.s.kinds) - 1)
         if not dest.lanes or self.s.kinds[dest.kind].routes_apart:
-            dest.lanes.append(Lane(dest, Circuit() if self.thin else None))
+            dest.lanes.append(Lane(dest, Circuit() if self.health.crowded(entry.rate_per_s) else None))
         ep = Endpoint(entry.endpoint, dest.lanes[-1], entry.zone)
         ep.lane.endpoints[ep.id] = self.endpoints[ep.id] = ep
         if ep.lane.back_at >= 0 and self.now < ep.lane.back_at + self.s.cold_us:  # as cold as its siblings
@@ -163,12 +163,10 @@
         m = Message(e.message, self.s.classes[e.message_class], e, self.seq, self.now)
         m.dest = dest = self.dests.setdefault(e.destination, Destination(e.destination))
         dest.arrivals += 1
-        # A returning destination gets a share of what comes in anew: summed over a large fleet it follows the
-        # total, whoever gets it. None is saved up: all that were told to wait come back in the same moment.
+        # A destination in trouble is tried by a share of what comes anew: summed over a fleet it follows the
+        # total, whoever does it. None is saved up: all that were told to wait come back in the same moment.
         for lane in dest.lanes:
-            if not (c := lane.circuit) or self.now < lane.wait_until:
-                continue
-            if c.open or c.ramp_from >= 0 and not lane.listed:  # else the slow start goes by time (_free)
+            if (c := lane.circuit) and c.open and self.now >= lane.wait_until:  # a slow start goes by time
                 c.tokens = min(1.0, c.tokens + self.health.warm(c) / len(dest.lanes))
         m.weight = m.cls.worth * self._share(e.tenant) * e.weight
         self.messages[m.id] = m
@@ -367,15 +365,13 @@
             self._wake(ep.connect_at)
             return False
         if ep.c.open:
-            if ep.c.trial is not None or self.thin and ep.c.tokens < 1.0 and not quick:
+            if ep.c.trial is not None or lane.circuit and ep.c.tokens < 1.0 and not quick:
                 return False
-            if not self.thin and now < ep.c.trial_at:
+            if not lane.circuit and now < ep.c.trial_at:
                 self._wake(ep.c.trial_at)
                 return False
         elif ep.c.ramp_from >= 0:
-            ready = sum(1 for x in lane.endpoints.values() if x.state is EndpointState.READY)
-            rate = self.health.warm(ep.c) * ep.c.base / (1 if self.thin else ready)
-            rate = max(rate, 0.001 if self.thin else 0.05)
+            rate = self.health.pace(ep)
             ep.c.tokens, ep.c.stamp = min(1.0, ep.c.tokens + rate * (now - ep.c.stamp) / 1e6), now
             if ep.c.tokens < 1.0:
                 self._wake(now + int((1 - ep.c.tokens) / rate * 1e6) + 1)
@@ -391,13 +387,12 @@
         left = min(m.until, self.closing) - now - self.margin
         if self.closing < math.inf and left < self.health.timeout(ep.lane):  # it might be cut off at the end
             return False
-        if m.closed or m.out or m.tries >= self.tries or left <= 0:
+        untried = ep.lane.circuit and ep.c.open and ep.c.tokens < 1.0 and not m.quick
+        if m.closed or m.out or m.tries >= self.tries or left <= 0 or untried:
             return False
         if now < m.ready_at:
             self._wake(m.ready_at)
             return False
-        if self.thin and ep.c.open and ep.c.tokens < 1.0 and not m.quick:
-            return False
         if m.ran_at >= 0:
             if m.cls.effect is Effect.UNSAFE:
                 return False
@@ -431,7 +426,7 @@
 
     def _pick(self, dest: Destination) -> tuple[float, int, Message, Endpoint] | None:
         """The message of a destination that loses most by waiting, and the endpoint for it."""
-        quick = self.thin and any(m.quick and m.ready_at <= self.now for m in dest.queue)
+        quick = any(m.quick and m.ready_at <= self.now for m in dest.queue)
         routing = self.routing if self.routing is not None and self.routing.knows(dest.number) else None
         ready = (ep for lane in dest.lanes for ep in lane.endpoints.values() if self._free(ep, quick))
         free = list(itertools.islice(ready, 1 if routing else None))  # one is enough: it tells which to ask
@@ -531,7 +526,7 @@
             lane.tokens -= 1.0
         if ep.c.open:
             ep.c.trial = call
-        if ep.c.ramp_from >= 0 or ep.c.open and self.thin:
+        if ep.c.ramp_from >= 0 or ep.c.open and lane.circuit:
             ep.c.tokens -= 1.0
         self._attempt(m, call)
         for _ in range(self.s.kinds[lane.dest.kind].batch - 1):
--- a/madderbeam/simulation/checker.py
+++ b/madderbeam/simulation/checker.py
@@ -44,7 +44,7 @@
 READY_AFTER = 1_500 * MS  # after a restart no notice is overdue for so long
 THROUGH = 100 * MS  # calls that come so soon after a wait was told are let through
 SURE = frozenset({"full", "void"})  # outcomes which prove that the call never ran
-COLD_SLACK = 3.0  # a cold destination falls at N + 3 x root of N + 3 calls, N being what it bears then
+COLD_SLACK = 2.0  # a cold destination falls above N + 2 x root of N + 2 calls, N being what it bears then
 WINDOW = 0.75  # a destination's calls stay under this share of the slots (DESIGN, dest_cap)
 
 
--- a/madderbeam/simulation/script.py
+++ b/madderbeam/simulation/script.py
@@ -51,6 +51,8 @@
     pools: bool = False  # sidecar: partners' endpoints have weights, backups and marks
     quota: bool = False  # sidecar: tenants have quotas
     kafka: bool = False  # sidecar: some partners are Kafka clusters
+    cold_ms: int = 4000  # a destination that was out is cold for so long
+    slots: int = 12  # calls that a courier may have out at once
     uneven: float = 1.0  # what each tenth courier gets, as a multiple of the mean
     faults: tuple[Fault, ...] = ()
 
@@ -59,6 +61,7 @@
                                   ("seconds", 0.1, 3600), ("grid_us", 1, 1_000_000), ("disk_mb", 0.01, 1000),
                                   ("latency_us", 1, 10_000_000), ("jitter_us", 0, 10_000_000),
                                   ("descriptors", 24, 1 << 20), ("service_ms", 0.1, 60_000),
+                                  ("slots", 1, 256), ("cold_ms", 1, 60_000),
                                   ("tight", 0.1, 100), ("grace_ms", 0, 60_000), ("uneven", 1, 9)):
             value = getattr(self, name)
             if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value <= most:
@@ -71,7 +74,8 @@
         """The script as JSON, one fault a line."""
         head = {k: v for k, v in asdict(self).items() if k != "faults"}
         # They came later: the names of older scripts stay.
-        for later, default in (("uneven", 1.0), ("pools", False), ("kafka", False), ("quota", False)):
+        for later, default in (("uneven", 1.0), ("slots", 12), ("cold_ms", 4000),
+                               ("pools", False), ("kafka", False), ("quota", False)):
             if head[later] == default:
                 del head[later]
         lines = ",\n".join("  " + json.dumps(f.row()) for f in self.faults)
--- a/madderbeam/simulation/settings.py
+++ b/madderbeam/simulation/settings.py
@@ -12,7 +12,6 @@
 
 def settings(script: Script) -> dict[str, Any]:
     """The settings of a run, in the platform's form."""
-    slots = 12
     return {
         "classes": [
             {"name": CLASSES[0], "goalTimeUs": 1_000_000, "deadlineUs": 3_000_000, "idempotency": "read_like",
@@ -24,9 +23,10 @@
             {"name": CLASSES[3], "goalTimeUs": 1_500_000, "deadlineUs": 4_000_000, "worth": 1.0,
              "idempotency": "read_like", "sequential": True}],
         "clients": {"marksRetry": True}, "groupSize": script.couriers, "stepUs": 5000,
-        "contract": {"coldShare": 0.15, "coldUs": 4_000_000, "drainGraceUs": script.grace_ms * 1000,
-                     "fallMultiple": 2.5, "fallUs": 2_000_000, "keyRestUs": 300_000},
-        "familyInfo": {"maxCalls": slots, "kindApart": [False, False], "kindBatch": [1, 5]},
+        "contract": {"coldShare": 0.15, "coldUs": script.cold_ms * 1000,
+                     "drainGraceUs": script.grace_ms * 1000, "fallMultiple": 2.5,
+                     "fallUs": 2_000_000, "keyRestUs": 300_000},
+        "familyInfo": {"maxCalls": script.slots, "kindApart": [False, False], "kindBatch": [1, 5]},
         "policyLimits": {"attemptsCap": 12, "connIdleUs": 10_000_000, "connectTimeoutUs": 500_000,
                          "maxOpen": 60, "retryAfter": True, "maxRetryAfterUs": 2_000_000, "probing": True},
         "localities": ["here"], "shapes": ["small-ensembles", "venue-chains"], "weightSource": "nominal",
--- a/tests/simulation/test_cold_count.py
+++ b/tests/simulation/test_cold_count.py
@@ -34,11 +34,11 @@
     return [v.rule for v in found], dest.cold_from
 
 
-def test_it_falls_above_what_it_bears_and_three_times_the_root_and_three():
+def test_it_falls_above_what_it_bears_and_twice_the_root_and_two():
     world = staged(Script(seed=1, couriers=2))
     n = bears(world.settings, world.dests[0].rate, FROM + 1_000_000)
-    most = math.floor(n + 3 * math.sqrt(n) + 3)
-    assert most > n + math.sqrt(n) + 8  # more than was allowed for chance before
+    most = math.floor(n + 2 * math.sqrt(n) + 2)
+    assert most < n + 3 * math.sqrt(n) + 3  # less than was allowed for chance before
     assert fallen(most, 0) == ([], FROM)
     assert fallen(most + 1, 0) == (["pushed"], -1)
 
@@ -47,7 +47,7 @@
 def test_the_first_fall_counts_and_over_two_thirds_must_come_from_couriers_that_were_told(part, rule):
     world = staged(Script(seed=1, couriers=2))
     n = bears(world.settings, world.dests[0].rate, FROM + 1_000_000)
-    fall = math.floor(n + 3 * math.sqrt(n) + 3) + 1
+    fall = math.floor(n + 2 * math.sqrt(n) + 2) + 1
     told = round(part * fall)
     assert fallen(told, fall - told)[0] == rule
     more = fallen(told, 3 * fall - told)  # it has fallen and stays down: later calls break nothing
--- /dev/null
+++ b/tests/simulation/test_returning_fleet.py
@@ -0,0 +1,29 @@
+"""What a fleet of any size sends to destinations that come back cold: the sum stays within what they bear.
+
+Destinations are out for 8 s and cold for 12, as deployments have it. Couriers have more slots than there are
+couriers, so that the rule can't depend on that; but few in the largest fleet, as a large deployment has it.
+"""
+
+import pytest
+
+from madderbeam.simulation.runs import play
+from madderbeam.simulation.script import Fault, Script
+
+KINDS = ("down", "hung", "failing", "shut")
+SLOTS = {1: 40, 5: 40, 20: 40, 30: 40, 200: 12}
+SERVED = {1: 0.55, 5: 0.55, 20: 0.38, 30: 0.33, 200: 0.4}  # of the worth; two thirds come in for what is out
+
+
+def returning(couriers, kind, seed):
+    faults = tuple(Fault(kind, 1000, 8000, dest) for dest in range(4))
+    return Script(seed=seed, couriers=couriers, dests=6, rate_per_s=60.0, seconds=18.0, slots=SLOTS[couriers],
+                  tight=1.1, service_ms=60.0, cold_ms=12_000, faults=faults)
+
+
+@pytest.mark.parametrize("couriers", SLOTS)
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_returning_destination_is_not_pushed_over_by_the_sum_of_all(couriers, kind):
+    for seed in (0, 1):
+        report = play(returning(couriers, kind, seed), audited=False)
+        assert report.violation is None, report.line
+        assert report.quality.worth > SERVED[couriers]
