--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -140,7 +140,7 @@
         ep.c.bad += MEMORY * (1 - ep.c.bad) * (1 - lost)
         if ep.c.ramp_from >= 0 and ep.c.bad >= STRUCK / 2:
             ep.c.ramp_from = now
-        # Where a call of each courier is too much one failure opens it, or two lost calls; an answer closes it.
+        # Where one call of each courier is much, one failure opens it, or two lost calls; an answer closes it.
         one = lane.circuit and (ep.c.bad >= TWICE if result is Result.TIMEOUT else result is not Result.FULL)
         if ep.c.bad >= STRUCK or ep.c.open and call is ep.c.trial or one:
             if result is not Result.ERROR or lane.circuit:
