Up to three couriers go on as one alone does; the fleet's trials begin at half their distance

What up to three do by reflex fits in the allowance for chance, so each courier has three c-ths of it, all of it up to three; trials grow as far apart as the fleet's part says by 1 - (3/c)^2 and begin at half of that. Two calls of each couriers (before: one and a half) decide whether a destination has one circuit: at eight couriers three failures at each endpoint came too late.

--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -54,6 +54,7 @@
         self.burst = BURST_PRICED_S if settings.refused_price else BURST_S
         # Many small couriers: each meets a destination so rarely that its equal part of anything says little.
         self.thin = settings.couriers > settings.slots
+        self.share = min(1.0, 3 / settings.couriers)  # of what one alone may try: chance has room for three
         self.keep = settings.connection_idle_us  # idle connections are used up to this age
         self.roomy = [0 if self.thin else ROOMY] * len(settings.kinds)  # new connections taken, by kind
         self.quickest = math.inf  # answer on a new connection that was good
@@ -140,7 +141,7 @@
         ep.c.bad += MEMORY * (1 - ep.c.bad) * (1 - lost)
         if ep.c.ramp_from >= 0 and ep.c.bad >= STRUCK / 2:
             ep.c.ramp_from = now
-        # Where one call of each courier is much, one failure opens it, or two lost calls; an answer closes it.
+        # Where two calls of each are too much, one failure opens it, or two lost calls; an answer closes it.
         one = lane.circuit and (ep.c.bad >= TWICE if result is Result.TIMEOUT else result is not Result.FULL)
         if ep.c.bad >= STRUCK or ep.c.open and call is ep.c.trial or one:
             if result is not Result.ERROR or lane.circuit:
@@ -151,7 +152,7 @@
             if ep.c.ramp_from < 0:
                 self.actions.append(Log(f"endpoint {ep.id} answers with errors: cold pace"))
             self.base(ep)
-            ep.c.tokens = min(ep.c.tokens, 1 / self.s.couriers)
+            ep.c.tokens = min(ep.c.tokens, self.share)
             ep.c.open, ep.c.gap, ep.c.ramp_from = False, 0, now
 
     def table_full(self, ep: Endpoint, result: Result, call: Call, latency: int, told: int) -> bool:
@@ -259,7 +260,7 @@
         if ep.c.open:  # from its first answer on
             ep.c.ramped = since
             return
-        ep.c.ramp_from, ep.c.stamp, ep.c.tokens = since, self.now, min(part, 1 / self.s.couriers)
+        ep.c.ramp_from, ep.c.stamp, ep.c.tokens = since, self.now, min(part, self.share)
 
     def overloaded(self, lane: Lane, told: int) -> None:
         """A refusal as full: pace down, close the window, and wait as told (or a jittered wait)."""
@@ -288,13 +289,12 @@
     def base(self, ep: Endpoint) -> None:
         """Its part of the rate. Unlisted: its own traffic, whose sum is all, or its part of one's alone."""
         own = ep.lane.dest.arrivals / max(self.now - self.start, self.s.cold_us, 1) * 1e6
-        alone = max(ep.lane.seen * SPARE, 0.5) / self.s.couriers
-        ep.c.base = ep.lane.listed or max(ep.c.base, own, alone)
+        ep.c.base = ep.lane.listed or max(ep.c.base, own, max(ep.lane.seen * SPARE, 0.5) * self.share)
 
     def crowded(self, rate: float) -> bool:
-        """Whether a call or two of each courier, over four, push a destination of that rate as it returns."""
+        """Whether two calls of each courier, if over four, push over one of that rate as it returns."""
         n = self.s.fall_multiple * self.s.cold_share * rate * self.s.rates_listed * self.s.fall_us / 1e6
-        return self.thin or 1.5 * self.s.couriers > max(6.0, n + 2 * math.sqrt(n) + 2)
+        return self.thin or 2 * self.s.couriers > max(8.0, n + 2 * math.sqrt(n) + 2)
 
     def trip(self, ep: Endpoint, sign: str) -> None:
         """Open the circuit: only trials, with growing jittered gaps."""
@@ -307,17 +307,17 @@
             self.actions.append(Log(f"endpoint {ep.id} in trouble ({sign}): trials only"))
         ep.c.open, ep.c.ramp_from = True, -1
         apart = self.apart(ep)
-        ep.c.gap = min(ep.lane.trial_gap or max(GAP_CAP_US, 2 * apart), max(GAP_US, apart, 2 * ep.c.gap))
-        ep.c.trial_at = self.now + int(self.random.uniform(0.5 / self.s.couriers, 1) * ep.c.gap)
+        ep.c.gap = min(ep.lane.trial_gap or max(GAP_CAP_US, 2 * apart), max(GAP_US, apart // 2, 2 * ep.c.gap))
+        ep.c.trial_at = self.now + int(self.random.uniform(0.5 * self.share, 1) * ep.c.gap)
 
     def apart(self, ep: Endpoint) -> int:
         """Time between a courier's trials at which those of the fleet are what an endpoint bears, in us."""
-        return int((1 - 1 / self.s.couriers) / self.pace(ep) * 1e6)
+        return int((1 - self.share ** 2) / self.pace(ep) * 1e6)
 
     def pace(self, ep: Endpoint) -> float:
         """Calls a second that an endpoint may get from this courier as it returns: its part of all."""
         ready = sum(x.state is EndpointState.READY for x in ep.lane.endpoints.values()) or 1
-        return max(self.warm(ep.c) * ep.c.base / (1 if ep.lane.circuit else ready), 0.05 / self.s.couriers)
+        return max(self.warm(ep.c) * ep.c.base / (1 if ep.lane.circuit else ready), 0.05 * self.share)
 
     def timeout(self, lane: Lane) -> int:
         tail = lane.dev * TAIL_X * math.log(1 / (ALIVE * self.loss))
