Behind a told wait the slow start begins at its begin

A told wait ends for all at once, so their trials are not spread and stand for no part of the slow start.

--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -228,8 +228,8 @@
                 ep.c.ramp_from, ep.c.stamp = ep.c.ramped, now
                 self.actions.append(Log(f"endpoint {ep.id} answers again: it was a spell"))
             elif not lane.circuit or ep.c.bad >= TWICE * (1 - MEMORY):  # one failure was no outage
-                self.chill(ep, now)  # the spread of the fleet's trials is half of a slow start by itself
-                ep.c.ramp_from = max(0, now - self.apart(ep) // 2)
+                self.chill(ep, now)  # trials spread are half of the slow start; told waits are not
+                ep.c.ramp_from = now if ep.c.opened_at else max(0, now - self.apart(ep) // 2)
                 self.actions.append(Log(f"endpoint {ep.id} answers again: slow start"))
             ep.c.gap, ep.c.bad = 0, min(ep.c.bad, STRUCK * 0.8)
         elif 0 <= ep.c.ramp_from <= now - self.s.cold_us or (
