Clients never have more than half of the descriptors that there are, and stalled requests make room

Seen, on real sockets with RLIMIT_NOFILE in the courier's process and a crowd three times as large that comes again as soon as it is shut, while discovery is down: - Where the configuration told more descriptors (1024) than the system gives (48), clients were let in up to half of what was told, so they had all: with clients that had been of use and stood amid a request, no call of messages that had been taken on before was made any more (`_accept` took each descriptor that came free). host/process.py now heeds the lower one, for `madderbeam run` and for a sidecar, whose `clients` it bounds too. - Such clients were never among those that make room (make_room), so that 32 of them, who come anew each 2 s, kept all others out. They go last of all, those first that have not gone on for the longest; what has come of them is read before.

--- a/madderbeam/host/process.py
+++ b/madderbeam/host/process.py
@@ -11,6 +11,7 @@
 import signal
 import sys
 from collections.abc import Iterator, Mapping
+from dataclasses import replace
 
 from madderbeam.config.platform import Config, ConfigError, load
 from madderbeam.host import upgrade
@@ -19,7 +20,7 @@
 from madderbeam.host.reload import Reloader
 from madderbeam.host.turn import Host
 from madderbeam.ports import Clock, Ports
-from madderbeam.ports.real import RealClock, RealDisk, real_ports
+from madderbeam.ports.real import RealClock, RealDisk, open_at_most, real_ports
 from madderbeam.transport.control import ControlServer
 
 # The collector looks at what is new once there are so many objects more than were let go of, at what has
@@ -91,6 +92,12 @@
         gc.enable()
 
 
+def within_limits(config: Config) -> Config:
+    """The same with no more descriptors than the system lets this process have: of what it was told beyond
+    that, clients would get a half, and leave none for discovery, notices and calls."""
+    return replace(config, sockets=open_at_most(config.sockets))
+
+
 async def serve(env: Mapping[str, str], config: Config) -> None:
     """Run one courier until it ends. Where another process has charge of the folder, that one hands over to
     this; and this one hands over to the next that asks."""
@@ -126,7 +133,7 @@
     """One courier as the platform starts it; the exit code."""
     log_to_stderr()
     try:
-        config = load(os.environ, RealDisk())
+        config = within_limits(load(os.environ, RealDisk()))
     except ConfigError as error:
         print(f"madderbeam: {error}", file=sys.stderr)
         return 2
--- a/madderbeam/host/sidecar.py
+++ b/madderbeam/host/sidecar.py
@@ -15,7 +15,7 @@
 
 from madderbeam.config.platform import Config, ConfigError, load_sidecar
 from madderbeam.host import files
-from madderbeam.host.process import collector_rests, log_to_stderr, start
+from madderbeam.host.process import collector_rests, log_to_stderr, start, within_limits
 from madderbeam.host.turn import Host
 from madderbeam.ports import Address, Disk, Lock, Network, Ports, Socket
 from madderbeam.ports.real import RealDisk, real_ports
@@ -134,7 +134,7 @@
     """
     log_to_stderr()
     try:
-        config = load_sidecar(path, RealDisk())
+        config = within_limits(load_sidecar(path, RealDisk()))
         if config.standby is not None:
             serve = importlib.import_module("madderbeam.host.standby.process").serve
             return int(asyncio.run(serve(config, follow)))
--- a/madderbeam/ports/real.py
+++ b/madderbeam/ports/real.py
@@ -7,6 +7,7 @@
 import errno
 import fcntl
 import os
+import resource
 import socket
 import stat
 import time
@@ -14,6 +15,12 @@
 from madderbeam.ports import Address, Ports
 
 
+def open_at_most(told: int) -> int:
+    """Descriptors that this process may have open: as many as it was told, or fewer by the system's limit."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return told if limit == resource.RLIM_INFINITY else min(told, limit)
+
+
 def _family(address: Address) -> socket.AddressFamily:
     return socket.AF_INET6 if ":" in address[0] else socket.AF_INET
 
--- a/madderbeam/transport/clients.py
+++ b/madderbeam/transport/clients.py
@@ -618,13 +618,16 @@
 
     def _spare(self) -> Iterator[Client]:
         """Those that may be closed, the best first: shut; silent since they came; idle, the longest first;
-        never of use, the oldest first, since one that has only just connected is about to send."""
+        never of use, the oldest first, since one that has only just connected is about to send; and amid a
+        request that is not whole, those first that have not gone on with it for the longest."""
         yield from list(self.leaving)
         silent_since = self.loop.time() - SILENT_S
         fresh = [c for c in self.clients if not c.useful and not c.pending and not c.unsent]
         yield from [c for c in fresh if c.between_requests and c.since < silent_since]
         yield from [c for c in self.idle if c.between_requests]
         yield from fresh
+        amid = [c for c in self.clients if c.reader.midway and not c.pending and not c.unsent]
+        yield from sorted(amid, key=lambda c: c.due)
 
     def rests(self, client: Client) -> None:
         """It has no request open any more. Where each client asks once and keeps its connection, those that
