Of those who come in a crowd only as many as the queue holds have waited in it

Seen: amid a crowd (tests/test_descriptors.py) a message with 2 s was now and then answered -BUSY. A client that is taken up behind a hold counts as having waited since then (`waited_ms`), and its first message loses so much of its time; that ended only when the queue was seen empty (BlockingIOError in `_accept`), which it never is while more come than are taken up in a turn. So some seconds behind a start amid a crowd all messages had no time left, and were refused.

Now it ends behind as many as the queue can have held, since it is first in, first out.

--- a/madderbeam/transport/clients.py
+++ b/madderbeam/transport/clients.py
@@ -524,6 +524,7 @@
         self.timers: dict[str, asyncio.TimerHandle] = {}
         self.ready = True  # what a PING is told
         self.rested_at = 0.0  # since when some may wait to be taken up, 0 if none does
+        self.waiting = 0  # at most so many do
 
     @property
     def listening(self) -> bool:
@@ -549,9 +550,13 @@
     def hold(self) -> None:
         """Those that come wait in the queue until `go`."""
         if self.sock is not None:
-            self.rested_at = self.loop.time()
+            self._queue()
             self.network.off_readable(self.sock)
 
+    def _queue(self) -> None:
+        """Those that come wait: no more than the queue holds, which may never be seen empty in a crowd."""
+        self.rested_at, self.waiting = self.rested_at or self.loop.time(), BACKLOG + 1
+
     def go(self) -> None:
         """Take up those that wait. If none does, nobody that comes later has waited."""
         self._accepting()
@@ -570,7 +575,8 @@
     def _rest(self) -> None:
         """No descriptor can be freed: those that wait are taken up a little later."""
         if self.sock is not None:
-            self.rested_at = self.rested_at or self.loop.time()
+            if not self.rested_at:
+                self._queue()
             self.network.off_readable(self.sock)
             self.timers["rest"] = self.loop.call_later(REST_S, self._accepting)
 
@@ -601,6 +607,9 @@
             self.clients[client := self.make(self, sock)] = None
             if self.rested_at:
                 client.waited_ms = int((self.loop.time() - self.rested_at) * 1e3)
+                self.waiting -= 1
+                if not self.waiting:
+                    self.rested_at = 0.0
 
     def adopt(self, sock: Socket, state: dict[str, Any]) -> None:
         """Go on with a client of another process."""
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -8,7 +8,9 @@
 
 import pytest
 
-from loopback import Client, Discovery, Endpoint, Fleet, answer, bounded, read_request
+from loopback import LIMIT, Client, Discovery, Endpoint, Fleet, answer, bounded, read_request
+from madderbeam.ports.real import RealNetwork
+from madderbeam.transport import clients
 
 CLOCK_S = 6.0  # what discovery has counts as told so long after it can be reached
 
@@ -205,3 +207,44 @@
                 assert await asyncio.wait_for(fleet.process.wait(), 3.7) == 0
                 await moved.stop()
     asyncio.run(run())
+
+
+def test_only_so_many_as_the_queue_holds_have_waited_in_it(monkeypatch):
+    # In a crowd the queue was never seen empty: each that came had waited since the start, and was refused.
+    async def run():
+        loop, life = asyncio.get_running_loop(), {}
+
+        def put(one, reply):
+            life[int(one.id)] = one.life_ms
+            reply.taken()
+
+        server = clients.ClientServer(loop, RealNetwork(loop), put, clients.Places(500))
+        port, crowd = server.listen("127.0.0.1", 0), []
+        monkeypatch.setattr(clients, "BACKLOG", 24)
+
+        def come(count):
+            for _ in range(count):
+                sock = socket.socket()
+                sock.setblocking(False)
+                sock.connect_ex(("127.0.0.1", port))
+                sock.send(Client.message(str(len(crowd))))
+                crowd.append(sock)
+
+        server.hold()
+        server.rested_at -= 10.0
+        come(20)
+        server.go()
+        for _ in range(8):  # as many as are taken up in one turn
+            come(clients.ACCEPTS)
+            await asyncio.sleep(0)
+        try:
+            async with asyncio.timeout(LIMIT):
+                while len(life) < len(crowd):
+                    await asyncio.sleep(0.01)
+        finally:
+            server.close()
+            for sock in crowd:
+                sock.close()
+        assert [life[n] for n in range(20)] == [0] * 20
+        assert [life[n] for n in range(25, len(crowd))] == [6000] * (len(crowd) - 25)
+    asyncio.run(run())
