--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -51,7 +51,7 @@
 
     def __init__(self, places=None, hold=False):
         loop = asyncio.get_running_loop()
-        self.put, self.replies = [], []
+        self.put, self.replies, self.plains = [], [], []
         self.server = ClientServer(loop, RealNetwork(loop), self._put, places or Places(50))
         self.hold = hold
         self.port = self.server.listen("127.0.0.1", 0)
@@ -66,6 +66,7 @@
     async def client(self, useful=True):
         """One that is connected; `useful`: and has been answered."""
         plain = Plain(self.port)
+        self.plains.append(plain)
         if useful:
             plain.send(c(b"PING"))
             assert await plain.answers(1) == b"+PONG\r\n"
@@ -90,6 +91,8 @@
                     await test(made, monkeypatch)
                 finally:
                     made.server.close()
+                    for plain in made.plains:
+                        plain.sock.close()
             asyncio.run(inner())
         run.__name__, run.__doc__ = test.__name__, test.__doc__
         return run
@@ -169,6 +172,21 @@
     assert await flood.answers(3000) == b"+PONG\r\n" * 3000
 
 
+@door()
+async def test_what_is_held_back_goes_on_in_another_process(made, _):
+    client, held = await made.client()
+    count = 5 * server.PIPELINE
+    client.send(b"".join(c(b"PING", b"%d" % n) for n in range(count)))
+    await until(lambda: not held.reading)
+    other = Door()
+    state, sock = held.state(), held.sock.dup()
+    held.close()  # what the process before does
+    other.server.adopt(sock, state)
+    got = await client.answers(2 * count)
+    other.server.close()
+    assert got.split(b"\r\n")[1::2] == [b"%d" % n for n in range(count)]
+
+
 # The end over what is still unread
 
 ENDS = {
@@ -262,6 +280,15 @@
     assert list(made.server.clients) == [clients[n][1] for n in (0, 2, 3)]
 
 
+@door(places=Places(4, 0.0))
+async def test_one_that_may_not_rest_is_shut_behind_all_that_it_has_sent(made, _):
+    client = Plain(made.port)
+    made.plains.append(client)
+    client.send(c(b"PING") * 100 + message("m1"))
+    client.sock.shutdown(socket.SHUT_WR)
+    assert await client.rest() == b"+PONG\r\n" * 100 + OK
+
+
 @door(places=Places(4, 1.0))
 async def test_for_room_those_go_first_that_only_wait_for_their_clients(made, _):
     clients = [await made.client() for _ in range(4)]
@@ -336,6 +363,42 @@
     assert not made.server.clients and not made.server.leaving
 
 
+@door()
+async def test_as_the_process_ends_what_a_client_has_made_room_for_is_sent(made, _):
+    client, held = await made.client()
+    answer = b"$500\r\n%s\r\n" % (b"x" * 500)
+
+    async def send():
+        while True:
+            await client.loop.sock_sendall(client.sock, c(b"PING", b"x" * 500) * 100)
+    sending = asyncio.create_task(send())
+    await until(lambda: held.unsent)
+    sending.cancel()
+    got, rest = 0, len(held.unsent)
+    with pytest.raises(BlockingIOError):
+        while True:
+            got += len(client.sock.recv(1 << 20))
+    assert (got + rest) % len(answer) == 0 and got % len(answer)
+    made.server.end()
+    assert not held.unsent and held.phase is Phase.CLOSED
+    assert len(await client.rest()) == rest
+
+
+@courier
+async def test_a_planned_end_waits_for_those_that_are_shut_and_no_longer_than_it_may(fleet):
+    await fleet.endpoint("a")
+    first = await fleet.inside()
+    first.writer.close()
+    host, client = fleet.host, Plain(fleet.port_of_host())
+    client.send(message("m1"))
+    assert await client.answers(1) == OK
+    host.terminate()
+    assert await client.rest() == b""
+    assert host.clients.leaving and not host.closed.done()
+    await bounded(host.closed)
+    assert host.loop.time() < host.closing_at and not host.clients.leaving
+
+
 # Requests in pieces
 
 FORMS = {
@@ -399,9 +462,14 @@
         self.scheduler, self.link = Scheduler(1), Link()
         loop = ProcessLoop(self.scheduler)
         self.net = SimNetwork(loop, {}, self.link, random.Random(1), lambda name: False, 100)
-        self.server = ClientServer(loop, self.net, lambda put, reply: reply.taken(), places)
+        self.put = []
+        self.server = ClientServer(loop, self.net, self._put, places)
         self.server.listen("10.0.0.1", 1)
 
+    def _put(self, put, reply):
+        self.put.append(put)
+        reply.taken()
+
     def run(self, seconds):
         self.scheduler.run(self.scheduler.now_us + int(seconds * 1e6))
 
@@ -433,6 +501,17 @@
     assert len(pieces) > 2 * server.SLOW_S and client.got == OK * 40
 
 
+def test_the_time_in_which_a_message_is_held_back_counts():
+    world = World(Places(50))
+    client = Distant(world, message("m1", life=900) + c(b"NOPE") + message("m2", life=900))
+    world.run(1)
+    assert client.got == OK + TURNED_DOWN + OK
+    assert [put.life_ms for put in world.put] == [900, 900 - server.PAUSE_S * 1000]
+    Distant(world, message("m3", life=900))
+    world.run(1)
+    assert world.put[-1].life_ms == 900
+
+
 def test_for_room_none_is_closed_whose_answer_is_not_sent():
     world = World(Places(1))
     world.link.window = 4
