--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -188,6 +188,16 @@
     asyncio.run(run())
 
 
+async def move(fleet):
+    """Discovery's new agent, as the courier is told by a signal."""
+    moved = await Agent().start()
+    fleet.env()
+    path = fleet.folder / "config.json"
+    path.write_text(json.dumps({**json.loads(path.read_text()), "discovery": f"127.0.0.1:{moved.port}"}))
+    fleet.process.send_signal(signal.SIGHUP)
+    return moved
+
+
 @CASES
 def test_signals_are_heeded(fleet, first, told, real):
     async def run():
@@ -197,19 +207,37 @@
             await fleet.outside(files=real)
             async with crowd_at(fleet, first, real):
                 fleet.discovery.down()
-                moved = await Agent().start()
-                fleet.env()
-                path = fleet.folder / "config.json"
-                path.write_text(json.dumps({**json.loads(path.read_text()),
-                                            "discovery": f"127.0.0.1:{moved.port}"}))
-                fleet.process.send_signal(signal.SIGHUP)
-                await asyncio.wait_for(moved.watches.get(), 4.0)  # counted as told by then
+                moved = await move(fleet)
+                await asyncio.wait_for(moved.watches.get(), 4.0)  # what it has counts as told by then
                 fleet.process.send_signal(signal.SIGTERM)
                 assert await asyncio.wait_for(fleet.process.wait(), 3.7) == 0
                 await moved.stop()
     asyncio.run(run())
 
 
+def test_clients_have_half_of_what_is_there_and_not_of_what_was_told(fleet):
+    async def run():
+        fleet.limits["sockets"] = 1024
+        async with fleet:
+            await fleet.endpoint("a")
+            first = await fleet.outside(files=48)
+            first.writer.close()
+            kept = set()
+            for _ in range(48):
+                one = await Client().open(fleet.port)
+                kept.add(one)
+                assert await one.send(OF_USE) == "+PONG"
+            for one in list(kept):  # those that are shut are not answered
+                with contextlib.suppress(ConnectionError):
+                    one.writer.write(OF_USE)
+                try:
+                    await one.line()
+                except (ConnectionError, asyncio.IncompleteReadError):
+                    kept.discard(one)
+            assert 0 < len(kept) <= 24
+    asyncio.run(run())
+
+
 def test_only_so_many_as_the_queue_holds_have_waited_in_it(monkeypatch):
     # In a crowd the queue was never seen empty: each that came had waited since the start, and was refused.
     async def run():
