--- a/madderbeam/transport/clients.py
+++ b/madderbeam/transport/clients.py
@@ -528,6 +528,7 @@
         self.timers: dict[str, asyncio.TimerHandle] = {}
         self.ready = True  # what a PING is told
         self.rested_at = 0.0  # since when some may wait to be taken up, 0 if none does
+        self.waiting = 0  # at most so many do
 
     @property
     def listening(self) -> bool:
@@ -553,9 +554,13 @@
     def hold(self) -> None:
         """Those that come wait in the queue until `go`."""
         if self.sock is not None:
-            self.rested_at = self.loop.time()
+            self._queue()
             self.network.off_readable(self.sock)
 
+    def _queue(self) -> None:
+        """Those that come wait: no more than the queue holds, which may never be seen empty in a crowd."""
+        self.rested_at, self.waiting = self.rested_at or self.loop.time(), BACKLOG + 1
+
     def go(self) -> None:
         """Take up those that wait. If none does, nobody that comes later has waited."""
         self._accepting()
@@ -574,7 +579,8 @@
     def _rest(self) -> None:
         """No descriptor can be freed: those that wait are taken up a little later."""
         if self.sock is not None:
-            self.rested_at = self.rested_at or self.loop.time()
+            if not self.rested_at:
+                self._queue()
             self.network.off_readable(self.sock)
             self.timers["rest"] = self.loop.call_later(REST_S, self._accepting)
 
@@ -605,6 +611,9 @@
             self.clients[client := self.make(self, sock)] = None
             if self.rested_at:
                 client.waited_ms = int((self.loop.time() - self.rested_at) * 1e3)
+                self.waiting -= 1
+                if not self.waiting:
+                    self.rested_at = 0.0
 
     def adopt(self, sock: Socket, state: dict[str, Any]) -> None:
         """Go on with a client of another process."""
@@ -622,13 +631,16 @@
 
     def _spare(self) -> Iterator[Client]:
         """Those that may be closed, the best first: shut; silent since they came; idle, the longest first;
-        never of use, the oldest first, since one that has only just connected is about to send."""
+        never of use, the oldest first, since one that has only just connected is about to send; and amid a
+        request that is not whole, those first that have not gone on with it for the longest."""
         yield from list(self.leaving)
         silent_since = self.loop.time() - SILENT_S
         fresh = [c for c in self.clients if not c.useful and not c.pending and not c.unsent]
         yield from [c for c in fresh if c.between_requests and c.since < silent_since]
         yield from [c for c in self.idle if c.between_requests]
         yield from fresh
+        amid = [c for c in self.clients if c.reader.midway and not c.pending and not c.unsent]
+        yield from sorted(amid, key=lambda c: c.due)
 
     def rests(self, client: Client) -> None:
         """It has no request open any more. Where each client asks once and keeps its connection, those that
