--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -21,6 +21,7 @@
 IDLE_EACH = 8  # idle connections kept to one endpoint
 TAIL_S = 0.5  # an answer that has begun must be whole within this: one that can't end would hold its slot
 MAX_ANSWER = 64 * 1024  # bytes of its body, as the protocol has it
+SLOW_S = 0.02  # from a call's choice to its first byte; a wait that was told binds 100 ms later
 MAX_WAIT_S = 120.0  # a told wait over this is none that a destination would tell
 STATES = {"done": Result.OK, "failed": Result.ERROR, "busy": Result.FULL, "void": Result.MOOT,
           "used_up": Result.MOOT}
@@ -86,6 +87,7 @@
     topic: str = ""  # of a Kafka partner
     idle: list[Connection] = field(default_factory=list)  # the most recently used last
     timers: dict[Connection, asyncio.TimerHandle] = field(default_factory=dict)
+    strange: bool = False  # an answer from there could not be read, which was told
 
 
 def single_outcome(status: int, headers: dict[str, str]) -> Outcome:
@@ -188,10 +190,13 @@
         elif self.status == 200 and self.bundle:
             wait = told_wait(self.headers)
             ends = bundle_outcomes(bytes(self.body), wait)
+            if any(item.id not in ends for item in self.items):
+                self.calls.strange(self.endpoint)
             for item in self.items:
                 # One that the answer leaves out may have run.
                 self.finish(item, ends.get(item.id, Outcome(Result.ERROR, wait_us=wait, spoilt=True)))
         elif noise:
+            self.calls.strange(self.endpoint)
             self.finish_all(Outcome(Result.ERROR, wait_us=told_wait(self.headers), spoilt=True))
         else:
             self.finish_all(single_outcome(self.status, self.headers))
@@ -199,6 +204,7 @@
 
     def spoilt(self) -> None:
         """A failed attempt that may have run."""
+        self.calls.strange(self.endpoint)
         if self.path:
             self.calls.probe_ended(self, Result.ERROR)
         self.finish_all(Outcome(Result.ERROR, wait_us=told_wait(self.headers), spoilt=True))
@@ -282,6 +288,13 @@
         self.close_idle(endpoint)
         self.pools.pop(endpoint, None)
 
+    def strange(self, endpoint: int) -> None:
+        """An answer from there could not be read: told once, however many follow."""
+        pool = self.pools.get(endpoint)
+        if pool is not None and not pool.strange:
+            pool.strange = True
+            log.warning("endpoint %d: an answer that can't be read; told once", endpoint)
+
     def close_idle(self, endpoint: int) -> None:
         if pool := self.pools.get(endpoint):
             for connection in list(pool.idle):
@@ -485,10 +498,19 @@
             self._keep(call.endpoint, connection)
             return
         if items:
-            self.hooks.begin(items, lambda may: self._begun(call, connection, may))
+            self.hooks.begin(items, lambda may: self._recorded(call, connection, may))
         else:
             self._begun(call, connection, True)
 
+    def _recorded(self, call: Call, connection: Connection, may: bool) -> None:
+        """Its record is written. Where that, or its connection, took time, answers that stand unread by now
+        are read first: a wait that one of them tells holds for this call too."""
+        if self.loop.time() - call.started > SLOW_S:
+            for other in list(self.out):
+                if other is not call:
+                    other.look()
+        self._begun(call, connection, may)
+
     def _begun(self, call: Call, connection: Connection, may: bool) -> None:
         if call not in self.out:  # given up while its record was written, and its connection with it
             return
