--- a/madderbeam/host/attempts.py
+++ b/madderbeam/host/attempts.py
@@ -62,10 +62,12 @@
     def _call(self, endpoint: int, items: list[Item]) -> None:
         longest = max(item.timeout_us for item in items)
         fresh = max(item.fresh_timeout_us for item in items)
-        wall = self.journal.wall
+        wall, held = self.journal.wall, self.journal.held
+        # An endpoint may go by the first of a bundle: once that one is out of time its answer is none to the
+        # others either. So the one with the most time leads, and the call does not outlast it.
+        items.sort(key=lambda item: held[item.number].until, reverse=True)
         for item in items:
-            until = wall.monotonic(self.journal.held[item.number].until)
-            left = until - wall.monotonic_us() - 2 * self.s.tick_us
+            left = wall.monotonic(held[item.number].until) - wall.monotonic_us() - 2 * self.s.tick_us
             item.timeout_us = max(item.timeout_us, min(longest, left))
             item.fresh_timeout_us = max(item.fresh_timeout_us, min(fresh, left))
         try:
