No call outlasts a message in it that keeps an order

A message that keeps an order had ended by its time, its key rested from then on, and the call, which went on for the others of its bundle, was given up only later: the next of the order went out within the rest of what may still run.

Change: such a call ends for all with the least time left of those that keep an order.

--- a/madderbeam/host/attempts.py
+++ b/madderbeam/host/attempts.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+import sys
 from collections.abc import Callable
 
 from madderbeam.host.ends import Ends
@@ -60,16 +61,23 @@
             self._call(a.endpoint, [item])
 
     def _call(self, endpoint: int, items: list[Item]) -> None:
+        wall, held = self.journal.wall, self.journal.held
+
+        def left(item: Item) -> int:
+            until = held[item.number].until
+            return wall.monotonic(until) - wall.monotonic_us() - 2 * self.s.tick_us
+
+        # No call outlasts a message that keeps an order: its attempt would be out still as the next one goes.
+        bound = min((left(item) for item in items if held[item.number].order), default=sys.maxsize)
         longest = max(item.timeout_us for item in items)
         fresh = max(item.fresh_timeout_us for item in items)
-        wall, held = self.journal.wall, self.journal.held
         # An endpoint may go by the first of a bundle: once that one is out of time its answer is none to the
         # others either. So the one with the most time leads, and the call does not outlast it.
         items.sort(key=lambda item: held[item.number].until, reverse=True)
         for item in items:
-            left = wall.monotonic(held[item.number].until) - wall.monotonic_us() - 2 * self.s.tick_us
-            item.timeout_us = max(item.timeout_us, min(longest, left))
-            item.fresh_timeout_us = max(item.fresh_timeout_us, min(fresh, left))
+            own = left(item)
+            item.timeout_us = max(1, min(bound, max(item.timeout_us, min(longest, own))))
+            item.fresh_timeout_us = max(1, min(bound, max(item.fresh_timeout_us, min(fresh, own))))
         try:
             self.calls.send(endpoint, items)
         except Exception:  # its slots and messages must not hang on it
--- a/tests/test_bundles.py
+++ b/tests/test_bundles.py
@@ -52,3 +52,21 @@
             await bounded(asyncio.sleep(0.01))
         assert fleet.discovery.finals.empty()
     courier(test)(tmp_path)
+
+
+@courier
+async def test_a_call_does_not_outlast_a_message_that_keeps_an_order(fleet):
+    # It went on for the others: the attempt was out still as the next one of its order went.
+    endpoint = await fleet.endpoint("a", answer(200), "hang", dest=9, kind="bundles")
+    fleet.raw["classes"][0]["sequential"] = True
+    fleet.raw["classes"][2]["goalTimeUs"] = 6_000_000
+    client = await fleet.inside()
+    await client.put("before", dest=9)
+    await endpoint.call()
+    ordered = client.command(b"MSG.PUT", b"0" * 15 + b"1", b"ordered", b"c=safe,t=t,d=400,dest=9", b"x")
+    client.writer.write(client.message("long", kind="unsafe", dest=9, life=9000) + ordered)
+    assert [await client.line() for _ in range(2)] == ["+OK"] * 2
+    path, _, body, began = await endpoint.call()
+    assert path == "/events/bundle" and b'"ordered"' in body
+    await bounded(endpoint.ended.get())  # its connection
+    assert asyncio.get_running_loop().time() - began < 3.0
