Two couriers go on as one alone at a return, not three

Seen: tests/simulation/test_returning_fleet.py broke `pushed` at three couriers (17 calls where 8.7 are borne) once the other parts were joined. At fault: Health.share.

Change: min(1, 2 / couriers).

--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -54,7 +54,7 @@
         self.burst = BURST_PRICED_S if settings.refused_price else BURST_S
         # Many small couriers: each meets a destination so rarely that its equal part of anything says little.
         self.thin = settings.couriers > settings.slots
-        self.share = min(1.0, 3 / settings.couriers)  # of what one alone may try: chance has room for three
+        self.share = min(1.0, 2 / settings.couriers)  # of what one alone may try: chance has room for two
         self.keep = settings.connection_idle_us  # idle connections are used up to this age
         self.roomy = [0 if self.thin else ROOMY] * len(settings.kinds)  # new connections taken, by kind
         self.quickest = math.inf  # answer on a new connection that was good
