Mesh test of doubled and late datagrams waits for the late ones

So every late copy was missing: all 400 rounds took less than the 50 ms by which one is late, on a quick machine. The courier has no part in it.

Change: the proxy counts the copies that are under way; the test waits until none is, and then asks for each copy that passed as well (stricter than before). A late one is late by 1 s, so that it is overtaken on a slow machine too.

--- a/tests/federation/faulty_links.py
+++ b/tests/federation/faulty_links.py
@@ -37,6 +37,7 @@
         self.flows.set()
         self.left = None  # bytes of streams that still pass before all connections break off
         self.passed = 0  # datagrams
+        self.under_way = 0  # copies of datagrams that were not lost and have not passed yet
         self.streamed = 0  # bytes
         self.calls = 0  # connections that the source made
         self.target = None  # the address of the one it leads to
@@ -107,9 +108,11 @@
             if self.chance.random() < self.loss:
                 continue
             more = self.late_s if self.chance.random() < self.late else 0.0
+            self.under_way += 1
             asyncio.get_running_loop().call_later(self.wait() + more, self._pass, data)
 
     def _pass(self, data):
+        self.under_way -= 1
         if self.whole.is_set() and not self.back.transport.is_closing():
             self.passed += 1
             self.back.transport.sendto(data, self.target)
--- a/tests/federation/test_mesh.py
+++ b/tests/federation/test_mesh.py
@@ -58,12 +58,15 @@
 
 def test_datagrams_of_one_way_are_lost_doubled_and_late_as_the_test_has_it(rig):
     a, b = rig.node(A), rig.node(B)
-    rig.fault(A, B, loss=0.3, double=0.3, late=0.2, late_s=0.05)
+    rig.fault(A, B, loss=0.3, double=0.3, late=0.2, late_s=1.0)  # over ten rounds, also on a busy machine
     for n in range(400):
         a.mesh.datagram(rig.address(A, B), "m", [n])
         b.mesh.datagram(rig.address(B, A), "m", [n])
         rig.until(lambda n=n: len(a.of(Came)) == n + 1)  # the way back has no fault
+    copies = rig.passed(A, B)  # the late ones too: all 400 rounds may take less than one is late
+    rig.until(lambda: len(b.of(Came)) >= copies)
     came = [e.row[0] for e in b.of(Came)]
+    assert len(came) == copies
     assert 230 < len(set(came)) < 390 and len(came) > len(set(came)) + 30 and came != sorted(came)
     rig.heal(A, B)
     a.mesh.datagram(rig.address(A, B), "m", ["whole"])
--- a/tests/federation/two_meshes.py
+++ b/tests/federation/two_meshes.py
@@ -13,7 +13,7 @@
 from madderbeam.simulation.fabric import Fabric
 from madderbeam.simulation.loop import Scheduler, process_loop
 from madderbeam.simulation.network import Link, SimNetwork
-from madderbeam.transport.mesh.events import MeshSettings
+from madderbeam.transport.mesh.events import Came, MeshSettings
 from madderbeam.transport.mesh.mesh import Mesh
 
 LIMIT_S = 40.0  # no wait of a test lasts longer
@@ -112,6 +112,11 @@
         for name, value in shares.items():
             setattr(self.links[a, b], name, value)
 
+    def passed(self, a, b):
+        """Wait until no datagram is under way from a to b any more; how many copies have passed."""
+        self.until(lambda: not self.links[a, b].under_way)
+        return self.links[a, b].passed
+
     def end(self, me):
         self.nodes.pop(me).mesh.close()
 
@@ -170,6 +175,12 @@
             us = {"late_s": "late_us", "delay": "latency_us", "jitter": "jitter_us"}.get(name)
             setattr(self.way(a, b), us or name, int(value * 1e6) if us else value)
 
+    def passed(self, a, b):
+        """Let all that is under way from a to b arrive; how many copies have."""
+        way = self.way(a, b)
+        self.scheduler.run(self.scheduler.now_us + way.late_us + way.latency_us + way.jitter_us)
+        return len(self.nodes[b].of(Came))
+
     def end(self, me):
         node = self.nodes.pop(me)
         node.mesh.close()
