Limits that answers tell in load reports count as listed rates where the list has none

Checked: grep finds no reader of X-Server-Load, nor of the report on the simulator's wire (wire.py drops it); the settings name the fields and PROTOCOL their meaning (x1: calls a second that the limit allows). Without a rate each courier goes by its own refusals (policy/messages.py, _refusal; policy/health.py, overloaded).

The decision module is as it was.

--- a/madderbeam/host/listing.py
+++ b/madderbeam/host/listing.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from madderbeam.config.platform import ConfigError, parse_address
+from madderbeam.host.limits import Limits, told
 from madderbeam.policy import interface as i
 from madderbeam.ports import Address
 
@@ -40,6 +41,7 @@
         self.dests: set[int] = set()  # that ever stood in a list: its endpoints may only be gone for now
         self.topics: dict[int, str] = {}  # of endpoints that are a Kafka partner's
         self.subscribed: dict[int, tuple[str, ...]] = {}  # topics of the federation that it wants notices of
+        self.limits = Limits()  # by what waits go by
         self.waits: dict[tuple[int, int], int] = {}  # told waits, by destination or route: when they end
         # Whether a destination is served here now, where another courier may serve it.
         self.serves: Callable[[int], bool] | None = None
@@ -73,8 +75,8 @@
 
     def _entry(self, target: dict[str, Any]) -> tuple[i.ListEntry, Address]:
         """Nothing of the list changes unless all of it can be read."""
-        uid, rate = target["uid"], float(target.get("capacity_hint") or 0.0)
-        if not uid or not isinstance(uid, str) or not 0 <= rate < math.inf:
+        uid, hint = target["uid"], float(target.get("capacity_hint") or 0.0)
+        if not uid or not isinstance(uid, str) or not 0 <= hint < math.inf:
             raise ValueError("an id or a rate that is none")
         kind, zone = self.kinds.get(target.get("model", ""), 0), self.zones.get(target.get("az", ""), 0)
         dest, state = int(target["pod_group"]), STATES[target["state"]]
@@ -82,7 +84,9 @@
         topic, subscribed = str(target.get("topic") or ""), tuple(map(str, target.get("topics") or ()))
         self.drains_passed_on.pop(uid, None)
         number = self.number(uid)
-        entry = i.ListEntry(number, dest, state, rate, kind, zone)
+        entry = i.ListEntry(number, dest, state, hint, kind, zone)
+        if self.s.report:  # the list's figure means nothing there
+            entry = replace(entry, rate_per_s=self.limits[self._key(entry)])
         if topic:
             self.topics[number] = topic
         else:
@@ -150,6 +154,7 @@
         """It has gone."""
         if entry := self.entries.pop(endpoint, None):
             self.waits.pop((entry.destination, endpoint), None)
+            self.limits.forget((entry.destination, endpoint))
         self.told.pop(endpoint, None)
         self.topics.pop(endpoint, None)
         self.subscribed.pop(endpoint, None)
@@ -177,6 +182,19 @@
             entry = self.learnt(entry)
         return replace(entry, state=i.EndpointState.DRAINING) if hidden and entry.state is READY else entry
 
+    def told_load(self, endpoint: int, load: dict[str, float]) -> list[i.ListEntry]:
+        """The entries that an answer's report changes."""
+        entry = self.entries.get(endpoint)
+        if entry is None or not self.s.report:
+            return []
+        key, values = self._key(entry), [load.get(name, 0.0) for name in self.s.report]
+        if not self.limits.told(key, told(self.s.report, values)):
+            return []
+        alike = [e for e in self.entries.values() if self._key(e) == key]
+        changed = [replace(e, rate_per_s=self.limits[key]) for e in alike]
+        self.entries.update({e.endpoint: e for e in changed})
+        return changed
+
     # Waits
 
     def told_again(self, dest: int, uid: str, until: int) -> tuple[i.ListEntry, ...]:
@@ -190,9 +208,11 @@
 
     def _wait_key(self, endpoint: int) -> tuple[int, int]:
         entry = self.entries.get(endpoint)
-        if entry is None:
-            return (-1, endpoint)
-        return (entry.destination, endpoint if self._kind(entry).routes_apart else -1)
+        return (-1, endpoint) if entry is None else self._key(entry)
+
+    def _key(self, entry: i.ListEntry) -> tuple[int, int]:
+        """What waits and limits are told of: a destination, or one route of it."""
+        return (entry.destination, entry.endpoint if self._kind(entry).routes_apart else -1)
 
     def waits_by_name(self) -> list[tuple[int, str, int]]:
         """Those that still run: the destination, the endpoint's id or '' for all of them, when it ends."""
--- a/madderbeam/host/turn.py
+++ b/madderbeam/host/turn.py
@@ -224,6 +224,11 @@
         self._routed()
         self.list_told(i.ListForm.DELTA, entries)
 
+    def told_load(self, endpoint: int, load: dict[str, float]) -> None:
+        """An answer carried a report: what it tells of a rate is news of the list."""
+        if entries := self.listing.told_load(endpoint, load):
+            self.list_told(i.ListForm.DELTA, entries)
+
     def listed(self, change: dict[str, Any], form: i.ListForm | None = None) -> bool:
         """Discovery tells a whole list or a change of it; False if all should be told again."""
         form = form or (i.ListForm.FULL if change.get("all") else i.ListForm.DELTA)
--- a/madderbeam/policy/interface.py
+++ b/madderbeam/policy/interface.py
@@ -146,6 +146,7 @@
     answer_slack_us: int = 0
     list_on_request: bool = False  # the endpoint list comes only after Subscribe or FetchList
     rates_listed: bool = False  # the list gives each destination's rate (else its figure means nothing)
+    report: tuple[str, ...] = ()  # values of load reports, where the host makes the list's rates from them
     over_share_worth: float = 1.0
     late_halves: bool = False  # worth halves with each further aim, in place of falling evenly
     zone_fees: tuple[float, ...] = ()
--- a/madderbeam/simhost.py
+++ b/madderbeam/simhost.py
@@ -3,14 +3,46 @@
 from __future__ import annotations
 
 import sys
+from dataclasses import replace
 from typing import Any, BinaryIO
 
 from madderbeam import wire
+from madderbeam.host.limits import Limits, told
+from madderbeam.policy import interface as i
 from madderbeam.policy.messages import Courier
 
 
+class List:
+    """An instance's list of endpoints, with the rates that answers tell where it has none."""
+
+    def __init__(self, settings: i.Settings) -> None:
+        self.s, self.limits = settings, Limits()
+        self.entries: dict[int, i.ListEntry] = {}
+
+    def heard(self, event: Any) -> list[Any]:
+        """What the courier is told of it."""
+        if not self.s.report:
+            return [] if isinstance(event, wire.LoadReport) else [event]
+        if isinstance(event, i.EndpointsListed):
+            event = replace(event, entries=tuple(map(self._rated, event.entries)))
+            self.entries.update({e.endpoint: e for e in event.entries})
+        elif isinstance(event, wire.LoadReport):
+            entry = self.entries.get(event.endpoint)
+            if entry is None or not self.limits.told(self._key(entry), told(self.s.report, event.values)):
+                return []
+            event = i.EndpointsListed(i.ListForm.DELTA, (self._rated(entry),))
+        return [event]
+
+    def _rated(self, entry: i.ListEntry) -> i.ListEntry:
+        return replace(entry, rate_per_s=self.limits[self._key(entry)])
+
+    def _key(self, entry: i.ListEntry) -> tuple[int, int]:
+        apart = self.s.kinds[min(entry.kind, len(self.s.kinds) - 1)].routes_apart
+        return (entry.destination, entry.endpoint if apart else -1)
+
+
 def answer(sequence: int, now_us: int, body: bytes, count: int, couriers: dict[int, Courier],
-           pages: dict[int, Any]) -> bytes:
+           pages: dict[int, Any], lists: dict[int, List]) -> bytes:
     """The reply to one batch."""
     inbox: dict[int, list[Any]] = {}
     for instance, event in wire.read_events(body, count, pages):
@@ -19,9 +51,10 @@
             couriers[instance] = Courier(event.settings, event.seed)
         elif isinstance(event, wire.Shutdown):
             couriers.pop(instance, None)
+            lists.pop(instance, None)
             events.clear()
-        else:
-            events.append(event)
+        elif instance in couriers:
+            events += lists.setdefault(instance, List(couriers[instance].s)).heard(event)
     reply = wire.Reply()
     for instance, events in inbox.items():
         courier = couriers.get(instance)
@@ -44,12 +77,13 @@
     """Answer every batch until the input ends."""
     couriers: dict[int, Courier] = {}
     pages: dict[int, Any] = {}
+    lists: dict[int, List] = {}
     while header := source.read(wire.BATCH_HEADER.size):
         sequence, size, now_us, count = wire.split_header(header)
         body = source.read(size)
         if len(body) != size:
             raise wire.Malformed(f"truncated batch: {len(body)} of {size} bytes")
-        sink.write(answer(sequence, now_us, body, count, couriers, pages))
+        sink.write(answer(sequence, now_us, body, count, couriers, pages, lists))
         sink.flush()
 
 
--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -66,6 +66,7 @@
     probed: Callable[[int, Result, int], None]
     # Its attempt had ended by its time-out; now it is known to be over.
     late: Callable[[Item, Outcome], None]
+    told_load: Callable[[int, dict[str, float]], None] = lambda endpoint, load: None  # a report came
     forwarded: Callable[[int], None] = lambda messages: None  # so many were written whole
     # Seconds from now within which the last byte of these has to be written, 0 or less: they are too late.
     write_s: Callable[[list[Item]], float] = lambda items: math.inf
@@ -113,6 +114,16 @@
     return int(seconds * 1e6) if 0 < seconds <= MAX_WAIT_S else 0  # nor for nan
 
 
+def told_load(headers: dict[str, str]) -> dict[str, float]:
+    """The report that an answer carries, by its values' names; {} if it can't be read."""
+    try:
+        pairs = [pair.split("=", 1) for pair in headers.get("x-server-load", "").split(",") if pair]
+        load = {name.strip(): float(value) for name, value in pairs}
+    except ValueError:
+        return {}
+    return load if all(map(math.isfinite, load.values())) else {}
+
+
 def bundle_outcomes(body: bytes, wait_us: int) -> dict[str, Outcome]:
     """Each one's end in a bundle's answer; none if it can't be read or names one twice."""
     try:
@@ -173,6 +184,8 @@
         self.status, self.headers = status, headers
         if wait := told_wait(headers):
             self.calls.hooks.told_wait(self.endpoint, wait)
+        if load := told_load(headers):
+            self.calls.hooks.told_load(self.endpoint, load)
 
     def data(self, data: bytes) -> None:
         self.received += len(data)
--- a/madderbeam/wire.py
+++ b/madderbeam/wire.py
@@ -5,6 +5,7 @@
 import json
 import struct
 from collections.abc import Iterator
+from dataclasses import dataclass
 from typing import Any
 
 from madderbeam.policy import interface as i
@@ -12,6 +13,7 @@
 BATCH_HEADER = struct.Struct(">IIQI")
 REPLY_HEADER = struct.Struct(">III")
 EVENT_SIZE, ACTION_SIZE, ENTRY_SIZE = 40, 16, 24
+ANSWER = 8  # an event's code
 ALL_PEERS = 0xFFFFFFFF
 MAX_U32 = 0xFFFFFFFF
 
@@ -19,6 +21,7 @@
            521: i.Result.CONNECT_FAILED, 520: i.Result.RESET, 444: i.Result.CANCELLED, 409: i.Result.MOOT}
 FORMS = (i.ListForm.DELTA, i.ListForm.FULL, i.ListForm.CACHED, i.ListForm.FAILED)
 STATES = (i.EndpointState.GONE, i.EndpointState.READY, i.EndpointState.DRAINING)
+RATE = "x1"  # of a load report: the calls a second that a destination takes from all couriers together
 EFFECTS = {"read_like": i.Effect.SAFE, "idempotency_key": i.Effect.KEYED, "non_idempotent": i.Effect.UNSAFE}
 
 _ARRIVAL = struct.Struct(">xIBIQQIfH")
@@ -46,6 +49,14 @@
         self.seed, self.settings = seed, settings
 
 
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an endpoint told of its load, in the order of the settings' fields."""
+
+    endpoint: int
+    values: tuple[float, ...]
+
+
 class Shutdown:
     """An instance was killed."""
 
@@ -87,6 +98,9 @@
 
 def _settings(raw: dict[str, Any]) -> i.Settings:
     family, limits, contract = raw.get("familyInfo", {}), raw["policyLimits"], raw["contract"]
+    listed = raw.get("weightSource") in ("nominal", "rough")
+    fields = tuple(str(f) for f in raw.get("report", {}).get("fields") or ())
+    report = fields if RATE in fields and not listed else ()
     design = raw.get("design", {})  # set by the configuration tool; the platform has no such object
     classes = tuple(
         i.MessageClass(
@@ -119,7 +133,7 @@
         fall_us=int(contract["fallUs"]), key_rest_us=int(contract.get("keyRestUs", 0)),
         answer_slack_us=int(contract.get("answerSlackUs", 0)),
         list_on_request=raw.get("membershipMode") == "on_request",
-        rates_listed=raw.get("weightSource") in ("nominal", "rough"),
+        rates_listed=listed or bool(report), report=report,
         over_share_worth=float(raw.get("overShareWorth", 1.0)), late_halves=family.get("late") == "halves",
         clients_mark_retries=bool(raw.get("clients", {}).get("marksRetry", False)),
         refused_price=float(family.get("refusedPrice", 0.0)),
@@ -158,9 +172,17 @@
             continue
         if instance is None:
             raise Malformed(f"record {code} before any instance was named")
+        if code == ANSWER and (load := read_load(view, at)):
+            yield instance, load
         yield instance, _event(code, view, at, tail, pages)
 
 
+def read_load(view: memoryview, at: int) -> LoadReport | None:
+    """The report that an answer's record carries."""
+    _, _, address, port, *_, n, a, b, c, d = _ANSWER.unpack_from(view, at)
+    return LoadReport(endpoint_id(address, port), (a, b, c, d)[:n]) if n else None
+
+
 def _event(code: int, view: memoryview, at: int, tail: memoryview, pages: dict[int, Any]) -> Any:
     if code == 2:
         ident, cls, team, key, until, _, dest, flags = _ARRIVAL.unpack_from(view, at)
@@ -181,7 +203,7 @@
     if code == 7:
         seed, offset, size = _BEGIN.unpack_from(view, at)
         return Begin(seed, read_settings(_slice(tail, offset, size, "the settings")))
-    if code == 8:
+    if code == ANSWER:
         ident, attempt, address, port, result, latency, last, hold_ms, *_ = _ANSWER.unpack_from(view, at)
         kind = _choice(RESULTS, result, "result")
         wait = hold_ms * 1000 if kind is i.Result.FULL else 0
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -141,7 +141,7 @@
     from madderbeam import simhost
     monkeypatch.setattr(simhost.Courier, "handle", lambda *a: 1 / 0)
     data = begin_batch()
-    reply = simhost.answer(1, 5, data[20:], 4, {}, {})
+    reply = simhost.answer(1, 5, data[20:], 4, {}, {}, {})
     assert reply[12 + 16] == 10 and b"ZeroDivisionError" in reply
 
 
