--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -219,7 +219,7 @@
             # one pace met a refusal in ten calls.
             near = lane.rate >= NEAR * lane.brink
             step = GROW * min(1.0, max(0.1, (now - lane.cut_at) / CALM_US)) if near else GROW
-            lane.rate = min(top, lane.rate + step * (lane.listed or lane.rate))
+            lane.rate = min(top, lane.rate + step * (lane.listed or max(lane.rate, self.own(lane))))
             if self.thin and not lane.lent and not lane.dest.queue and now - lane.cut_at > CALM_US:
                 lane.rate = 0.0
         if ep.c.open and (call.sent_at >= ep.c.opened_at or lane.circuit):  # else sent before it was shut
@@ -272,12 +272,12 @@
             # In a large fleet an equal part of a rate is a call in many seconds, and who needs it is chance:
             # paced only from a refusal on, until no more come and nothing waits.
             if lane.rate:
-                lane.rate = max(lane.rate * CUT, lane.listed * FLOOR, 0.0 if self.thin else 0.2)
+                lane.rate = max(lane.rate * CUT, (lane.listed or self.own(lane)) * FLOOR, 0.0 if self.thin else 0.2)
             elif self.thin:
                 lane.rate = lane.brink = lane.listed
                 lane.tokens, lane.stamp = self.random.random(), now
             else:
-                lane.rate = max(0.5, lane.seen * CUT)
+                lane.rate = max(0.5, lane.seen * CUT, FLOOR * self.own(lane))
             lane.fulls += 1
         lane.wait_until = max(lane.wait_until, now + (told or self.backoff(lane.fulls)))
         self.fill(lane)
@@ -288,9 +288,13 @@
 
     def base(self, ep: Endpoint) -> None:
         """Its part of the rate. Unlisted: its own traffic, whose sum is all, or its part of one's alone."""
-        own = ep.lane.dest.arrivals / max(self.now - self.start, self.s.cold_us, 1) * 1e6
+        own = self.own(ep.lane)
         ep.c.base = ep.lane.listed or max(ep.c.base, own, max(ep.lane.seen * SPARE, 0.5) * self.share)
 
+    def own(self, lane: Lane) -> float:
+        """Messages a second that came for it."""
+        return lane.dest.arrivals / max(self.now - self.start, self.s.cold_us, 1) * 1e6
+
     def crowded(self, rate: float) -> bool:
         """Whether two calls of each courier, if over four, push over one of that rate as it returns."""
         n = self.s.fall_multiple * self.s.cold_share * rate * self.s.rates_listed * self.s.fall_us / 1e6
