--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -274,7 +274,7 @@
             if lane.rate:
                 lane.rate = max(lane.rate * CUT, (lane.listed or self.own(lane)) * FLOOR, 0.0 if self.thin else 0.2)
             elif self.thin:
-                lane.rate = lane.brink = lane.listed
+                lane.rate = lane.brink = lane.listed or self.own(lane)
                 lane.tokens, lane.stamp = self.random.random(), now
             else:
                 lane.rate = max(0.5, lane.seen * CUT, FLOOR * self.own(lane))
