--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -8,7 +8,7 @@
 from madderbeam.policy.interface import Action, EndpointState, Log, Result, Settings
 from madderbeam.policy.state import Call, Circuit, Endpoint, Lane
 
-REFUSED_MEMORY, KIND_MEMORY = 0.5, 1 / 16  # weight of the newest call in the share refused: lane, kind
+REFUSED_MEMORY = 0.5  # weight of the newest call in the share refused
 # Pacing of a lane.
 BURST_S, BURST_PRICED_S = 0.8, 0.4  # a bucket holds this much of its rate; less where refusals are priced
 CUT = 0.75  # on overload the rate shrinks by this, once a round trip
@@ -58,7 +58,6 @@
         self.keep = settings.connection_idle_us  # idle connections are used up to this age
         self.roomy = [0 if self.thin else ROOMY] * len(settings.kinds)  # new connections taken, by kind
         self.quickest = math.inf  # answer on a new connection that was good
-        self.refused = [0.0] * len(settings.kinds)  # as the lanes', over all calls to a kind
         self.reaped = 0  # calls lost on idle connections
         self.hold = 1e5  # as the lanes', over all calls
         self.loss = LOSS  # share of calls that are never answered though others are
@@ -106,7 +105,6 @@
             return  # that connection had died; the endpoint answers on others
         if result is Result.FULL:
             lane.refused += (1 - lane.refused) * REFUSED_MEMORY
-            self.refused[lane.dest.kind] += (1 - self.refused[lane.dest.kind]) * KIND_MEMORY
             self.overloaded(lane, told)
             if told > SHUT_US:
                 self.failed(lane, call, OUT)
@@ -211,7 +209,6 @@
             if long and lane.failures >= OUT and not lane.circuit:
                 self.returned(lane)
             lane.failing_from, lane.failures = -1, 0
-        self.refused[lane.dest.kind] *= 1 - KIND_MEMORY
         lane.window = min(self.cap, lane.window + 1)
         if lane.rate:
             top = lane.listed * (1 if lane.lent else self.s.couriers) or math.inf
--- a/madderbeam/policy/messages.py
+++ b/madderbeam/policy/messages.py
@@ -26,7 +26,6 @@
 PATIENCE = 0.5  # what would wait for its pace over this part of its life is refused at the door
 KEPT = 1.3  # what was taken on counts for so much of its worth there: handed back untried it costs 0.3
 ROOM = 2  # places kept free for new messages
-SHED = 0.9  # at most this share of new messages is refused unsent
 QUICK_US = 200_000  # a failure that came this soon may be tried again at once, outage or not
 TORN = 0.08  # share of calls on kept connections that are reset, over which unsafe messages get a new one
 DIRTY = 0.15  # share of may-have-run failures over which unsafe messages wait
@@ -178,7 +177,7 @@
         if m.key:
             self.keys.setdefault(m.key, []).append(m)
         heapq.heappush(self.expiries, (m.until - self.margin, m.id))
-        if self._spent(m) or self.thin and not m.restored and self.random.random() < self._refusal(dest):
+        if self._spent(m):
             self._finish(m, self.come_back_us())
         elif self.thin:
             self._shed(dest)
@@ -192,17 +191,6 @@
         """When to come again, for a message that the courier has no room for: spread by chance."""
         return int(self.s.max_retry_after_us * self.random.uniform(0.5, 1))
 
-    def _refusal(self, dest: Destination) -> float:
-        """Share of a destination's new messages that are refused unsent: as many as of its calls are.
-
-        Where refused calls use up the limit too, a destination of many couriers refuses nearly all once the
-        calls pass its limit, and what clients hand in again keeps it there. One courier sees too few refusals
-        there to pace itself, but a share by chance adds up.
-        """
-        lent = self.health.refused[dest.kind] ** 2  # to lanes without calls, if most of the kind are refused
-        shares = [x.refused if x.refused or x.seen_at else lent for x in dest.lanes if not x.rate]
-        return min(SHED, sum(shares) / max(1, len(dest.lanes)))
-
     def _shed(self, dest: Destination) -> None:
         """Refuse at the door what would wait for its pace over a part of its life; the worthiest stay. What
         was taken on is worth more, and goes back where all its time is too short, unless it was restored."""
