Where nothing tells a limit, a courier's part of it is its own traffic; none is refused by chance

Cause: the first refusal sets the pace to three quarters of what got through lately, 0.5 a second at the least, and each answer gives a tenth of that little back (policy/health.py, overloaded and succeeded); where couriers are more than slots, _refusal (policy/messages.py) turned new messages away by the share of the last calls that were refused, which only further calls could lower.

Change: the part that pace and growth go by is the listed one, else the traffic that came. _refusal and the share kept for each kind are gone.

Tests: tests/test_fleet.py's new one fails on the code before in both forms.

--- a/madderbeam/host/changes/applying.py
+++ b/madderbeam/host/changes/applying.py
@@ -161,7 +161,6 @@
                          for n, t in enumerate(s.tenants)]
         more = len(s.kinds) - len(health.roomy)
         health.roomy += [health.roomy[0]] * more
-        health.refused += [0.0] * more
 
     def _names(self, snapshot: Snapshot) -> None:
         admission = self.host.admission
--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -261,7 +261,7 @@
 
     def overloaded(self, lane: Lane, told: int) -> None:
         """A refusal as full: pace down, close the window, and wait as told (or a jittered wait)."""
-        now = self.now
+        now, part = self.now, lane.listed or self.own(lane)
         if now >= lane.cut_at:
             lane.cut_at = now + max(int(lane.mean), 2 * self.s.tick_us)
             lane.window = max(1.0, lane.window / 2)
@@ -269,12 +269,12 @@
             # In a large fleet an equal part of a rate is a call in many seconds, and who needs it is chance:
             # paced only from a refusal on, until no more come and nothing waits.
             if lane.rate:
-                lane.rate = max(lane.rate * CUT, (lane.listed or self.own(lane)) * FLOOR, 0.0 if self.thin else 0.2)
+                lane.rate = max(lane.rate * CUT, part * FLOOR, 0.0 if self.thin else 0.2)
             elif self.thin:
-                lane.rate = lane.brink = lane.listed or self.own(lane)
+                lane.rate = lane.brink = part
                 lane.tokens, lane.stamp = self.random.random(), now
             else:
-                lane.rate = max(0.5, lane.seen * CUT, FLOOR * self.own(lane))
+                lane.rate = max(0.5, lane.seen * CUT, part * FLOOR)
             lane.fulls += 1
         lane.wait_until = max(lane.wait_until, now + (told or self.backoff(lane.fulls)))
         self.fill(lane)
--- a/madderbeam/simulation/books.py
+++ b/madderbeam/simulation/books.py
@@ -167,7 +167,7 @@
         if ep.c.trial is not None and ep.c.trial not in parts:
             yield f"endpoint {ident} waits for a trial that is over"
         yield from _circuit(ep.c)
-    yield from _shares(c.health.loss, c.health.torn, *c.health.refused)
+    yield from _shares(c.health.loss, c.health.torn)
 
 
 def _shares(*values: float) -> Wrong:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -60,6 +60,24 @@
     assert sends <= 0.1 * 10 * 2 + 1
 
 
+@pytest.mark.parametrize("couriers, slots", [(2, 12), (6, 4)])
+def test_where_no_rate_is_listed_refusals_leave_a_courier_its_part_of_its_own_traffic(couriers, slots):
+    # Paced by what got through, or refusing a share by chance at the door, it tried so seldom that it learnt
+    # late that there was room again.
+    h = Host(slots=slots, couriers=couriers)
+    sends = 0
+    for n in range(60):  # one a second; all are refused as full for 20 s, then none is
+        for acts in (h.arrive(life=3 * S, after=S), h.idle(0.5)):
+            for a in of(Send, acts):
+                sends += 1
+                h.end(a.message, Result.FULL if n < 20 else Result.OK, after=0)
+        if n == 19:
+            lane, own = h.courier.endpoints[100].lane, h.courier.health.own(h.courier.endpoints[100].lane)
+            assert 0.39 * own <= lane.rate < 0.5 * own
+            sends = 0
+    assert sends >= 30  # of 40
+
+
 @pytest.mark.parametrize("how", [Result.CONNECT_FAILED, Result.ERROR, Result.RESET, Result.TIMEOUT])
 def test_what_a_hundred_couriers_send_into_an_outage_sums_to_the_fall_budget(how):
     rate, cold, multiple, couriers = 40.0, 0.15, 2.5, 100
