--- a/madderbeam/journal/plan.py
+++ b/madderbeam/journal/plan.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -21,6 +22,7 @@
 # Bytes that one message's later records take at most, its id and key aside: an attempt, the proof that it
 # never ran, its final, its end.
 TRY, MISS, FINAL, OVER = 36, 24, 44, 52
+MARK, GONE = 24, 24  # a segment's word on the next one, and the word that one has gone
 AGAIN = (TRY + MISS) // 2  # kept free by admission beside them: half of all messages are tried twice
 STEP_BYTES = 1 << 15  # that one step of compaction copies at most, one record more or less
 STEP_RECORDS = 128
@@ -51,6 +53,20 @@
     return segment_bytes(limit) + 4 * BLOCK
 
 
+def begun(head: int, size: int) -> int:
+    """Bytes that a record of this size takes at most where it begins a segment with a header of `head`."""
+    return blocks(MARK) + blocks(head + size)
+
+
+def copyable(limit: int, used: int, head: int) -> int:
+    """Bytes that may live in a segment for its copy to be begun; 0 or less: nothing may. Such a copy, and the
+    word that the segment goes, begin two files at most, and surely fit, since all others leave the headroom
+    free but for what was copied of it. One that was begun and did not fit would hold the room for good: there
+    would be none even for the word that a dead segment goes. `head`: bytes of a header."""
+    beside = GONE + 2 * (head + MARK) + 3 * BLOCK  # three files are rounded
+    return min(headroom(limit) - beside, limit - used - beside, segment_bytes(limit) - head - GONE)
+
+
 def reserve(open_: int, untried: int, owed: int, names: int) -> int:
     """Bytes that all messages taken on may still need on the way to their ends: for each open one what its
     newest attempt came to, its final and its end, for each untried one an attempt as well, for each owed one
@@ -76,14 +92,15 @@
     return HALF if 2 * (used + needed) > limit else FREE
 
 
-def victim(views: Iterable[View], bound: float) -> View | None:
+def victim(views: Iterable[View], bound: float, most: float = math.inf) -> View | None:
     """The full segment to rewrite next, None if that is not worth it: the one with the least that lives, if
     at most `bound` of it does. An old segment may hold many dead ones behind it: where that is true of all
-    together, the oldest goes."""
+    together, the oldest goes. `most`: bytes of it that may live."""
     views = list(views)
-    best = min((v for v in views if not v.held), key=lambda v: (v.share, v.number), default=None)
+    small = [v for v in views if v.live <= max(0, most)]
+    best = min((v for v in small if not v.held), key=lambda v: (v.share, v.number), default=None)
     if best is None or best.share <= bound:
         return best
     if sum(v.live for v in views) <= bound * sum(v.size for v in views):
-        return min(views, key=lambda v: v.number)
+        return next((v for v in small if v.number == min(v.number for v in views)), None)
     return None
--- a/madderbeam/journal/segments.py
+++ b/madderbeam/journal/segments.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from madderbeam.journal import plan
 from madderbeam.journal.records import FORMAT, blocks, frame
 from madderbeam.ports import Disk, File
 
@@ -76,6 +77,11 @@
     def active(self) -> Segment:
         return self.all[self.newest]
 
+    @property
+    def head(self) -> int:
+        """Bytes of the next segment's header."""
+        return len(frame(self.header(self.newest + 1)))
+
     def found(self, number_: int, size: int, file: str = "", fixed: int = 0) -> Segment:
         """A segment that was there at the start; the newest one is gone on with."""
         segment = self.all[number_] = Segment(number_, file)
@@ -89,6 +95,8 @@
         there, if that can't be."""
         self.ready()
         if self.active.size and (self.stale or self.active.size + len(data) > self.full):
+            if self.used + plan.begun(self.head, len(data)) > self.limit - spare:
+                raise JournalFull("the disk limit is reached")
             self._roll()
         segment = self.active
         head = b"" if segment.size else frame(self.header(segment.number))
--- a/madderbeam/journal/store.py
+++ b/madderbeam/journal/store.py
@@ -85,7 +85,7 @@
         self.damage = 0  # places that were found damaged at the start
         self.doubt: Doubt | None = None
         self.rests_until = self.expired_at = 0.0
-        self.spare = plan.headroom(limit_bytes)  # for compaction, which could not free anything else
+        self.copied = 0  # bytes of its records so far
         self.files = Files(disk, folder, limit_bytes, plan.segment_bytes(limit_bytes), self._header)
         self._restore(read(disk, folder))
         with contextlib.suppress(OSError):
@@ -224,7 +224,7 @@
         self.grouping = True
 
     def commit(self) -> None:
-        """Write what is staged, in one piece, then let what follows from it happen, in its order."""
+        """Write what is staged, in one piece for each segment, then let what follows from it happen, in order."""
         self.grouping = False
         staged, self.staged, self.staged_bytes = self.staged, [], 0
         if not staged:
@@ -232,26 +232,43 @@
         rows = [*self.unwritten, *staged]
         self.unwritten.clear()
         self._expire()
-        if not self._written(rows):
-            self._one_by_one(rows)
+        written, error = 0, None
+        while written < len(rows) and error is None:
+            part = self._part(rows[written:])
+            if (error := self._written(part)) is None:
+                written += len(part)
+        for row in rows[:written]:
+            row.done()
+        if error is not None and written == len(rows) - 1:
+            self._failed(rows[written], error)
+        elif error is not None:
+            self._one_by_one(rows[written:])
         self._compact()
 
-    def _written(self, rows: list[Staged]) -> bool:
+    def _part(self, rows: list[Staged]) -> list[Staged]:
+        """The first of these, as many as one segment holds, and one at least: a larger segment could not be
+        copied beside itself."""
+        if sum(len(row.data) for row in rows) <= self.files.full // 2:  # as nearly always
+            return rows
+        left = self.files.full - self.files.head
+        for n, row in enumerate(rows):
+            left -= len(row.data)
+            if n and left < 0:
+                return rows[:n]
+        return rows
+
+    def _written(self, rows: list[Staged]) -> OSError | None:
+        """Write these in one piece; what kept the disk from it, if anything did."""
         try:
             self.files.append(b"".join(row.data for row in rows), self.spare)
             if self.sync:
                 self.files.sync()
         except OSError as error:
-            if len(rows) == 1:
-                self._failed(rows[0], error)
-                return True
-            return False
+            return error
         number = self.files.newest
         for row in rows:
             self._place(row.record, number)
-        for row in rows:
-            row.done()
-        return True
+        return None
 
     def _one_by_one(self, rows: list[Staged]) -> None:
         """The group did not fit: each by itself, up to the first that fails. Those behind it fail too: a
@@ -549,6 +566,12 @@
 
     # Room and compaction
 
+    @property
+    def spare(self) -> int:
+        """Bytes that are left free for compaction, which could not free anything else: what a copy that goes
+        on has taken of them is not asked for a second time, or an end would not find the room kept for it."""
+        return plan.headroom(self.limit) - self.copied
+
     @property
     def needed(self) -> int:
         """Bytes that all that was taken on may still need."""
@@ -598,7 +621,8 @@
         views = [plan.View(s.number, s.size - s.fixed, s.live, any(v in self.files.all for v in s.voids))
                  for s in self.files.all.values()
                  if s.number != self.files.newest and (short or not s.damaged)]
-        view = plan.victim(views, plan.bound(self.limit, self.files.used, self.needed))
+        most = plan.copyable(self.limit, self.files.used, self.files.head)
+        view = plan.victim(views, plan.bound(self.limit, self.files.used, self.needed), most)
         return self.files.all[view.number] if view else None
 
     def step(self) -> bool:
@@ -612,12 +636,12 @@
         try:
             if segment.dead:
                 self.files.drop(segment.number)
-                self.victim = None
+                self.victim, self.copied = None, 0
             else:
                 self._copy(segment)
         except OSError as error:
             log.error("journal: compaction rests: %s", error)
-            self.rests_until, self.victim = self.wall() + REST_S, None
+            self.rests_until, self.victim, self.copied = self.wall() + REST_S, None, 0
             return False
         return True
 
@@ -640,7 +664,9 @@
             if not ids and not keys:
                 return
             rows.append(["known", self.last, ids, keys])
-        self.files.append(b"".join(map(frame, rows)))
+        data = b"".join(map(frame, rows))
+        self.files.append(data)
+        self.copied += len(data)
         for row in rows:
             if row[0] == "known":
                 self._effect(row, self.files.newest)
--- a/tests/journal/test_store.py
+++ b/tests/journal/test_store.py
@@ -271,6 +271,52 @@
     journal.take(held(taken + 1, machine, "", size))
 
 
+def crowd(machine, chance, sizes, most, turns):
+    """Turns of a courier at its limit, compaction between them: how many were taken on, and for how many
+    turns in a row none was. Each end has to be recorded at once."""
+    later, taken, row, longest = [], 0, 0, 0
+    journal = machine.start(later=lambda seconds, action: later.append(action))
+    for _ in range(turns):
+        machine.after(0.01)
+        journal.begin()
+        before = taken
+        for _ in range(chance.randrange(most + 1)):
+            m = held(journal.last + 1, machine, "", chance.choice(sizes), chance.uniform(0.1, 2.0))
+            with contextlib.suppress(JournalFull):
+                journal.take(m, lambda: None, lambda error: None)
+                taken += 1
+        for m in [m for m in journal.held.values() if not m.status]:
+            if not m.tries and chance.random() < 0.3:
+                journal.attempt([m.number], journal.wall())
+            elif m.until < journal.wall() + 0.05 or chance.random() < 0.05:
+                if chance.random() < 0.5:
+                    journal.done(m.number)
+                    continue
+                journal.end(m, "deferred", 100)
+                journal.final(m.number, "deferred", 100, lambda n=m.number: journal.told([n]))
+        journal.commit()
+        row = 0 if taken > before else row + 1
+        longest = max(longest, row)
+        for _ in range(20):
+            machine.after(0.001)
+            due, later[:] = list(later), []
+            for action in due:
+                action()
+        assert not journal.unwritten and machine.disk.used() <= machine.limit
+    return taken, longest
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("limit, sizes, most, row", [
+    (30_000, [100, 300], 4, 8), (72_592, [100, 300, 3000, 16_000], 6, 25), (3_000_000, [60_000], 8, 8),
+    (3_000_000, [100, 300, 60_000], 12, 4)])
+def test_beside_compaction_every_end_has_its_room_and_room_comes_back(limit, sizes, most, row, seed):
+    # A copy that was begun and did not fit took the headroom: nothing could be recorded any more, not even
+    # the word that a dead segment goes. Bodies of 64 KB made segments larger than the room that copies have.
+    taken, longest = crowd(Machine(seed, limit), random.Random(seed), sizes, most, 300)
+    assert taken > 200 and longest <= row
+
+
 def test_without_the_room_kept_free_ends_would_not_fit(monkeypatch):
     monkeypatch.setattr(plan, "admits", lambda limit, used, needed, more: used + more <= limit)
     with pytest.raises(OSError):
@@ -393,6 +439,35 @@
     assert sorted(machine.start().held) == [1, 3]
 
 
+def test_of_a_group_in_several_parts_nothing_is_sent_that_was_not_taken_on(monkeypatch):
+    machine = Machine()
+    journal = machine.start()
+    said, append, broken = [], journal.files.append, [errno.EIO]
+
+    def once(data, spare=0):
+        if broken:
+            raise OSError(broken.pop(), "broken")
+        append(data, spare)
+    monkeypatch.setattr(journal.files, "append", once)
+    journal.begin()
+    # The first fills a segment: what follows of it in the group goes in another write.
+    journal.take(held(1, machine, size=journal.files.full), lambda: said.append("taken 1"),
+                 lambda error: said.append("not 1"))
+    journal.attempt([1], journal.wall(), lambda: said.append("sent 1"), lambda error: said.append("unsent 1"))
+    journal.take(held(2, machine), lambda: said.append("taken 2"), lambda error: said.append("not 2"))
+    journal.commit()
+    assert said == ["taken 1", "sent 1", "taken 2"]  # each by itself
+    broken.extend([errno.EIO] * 2)  # neither the part nor its first record by itself
+    said.clear()
+    journal.begin()
+    journal.take(held(3, machine, size=journal.files.full), lambda: said.append("taken 3"),
+                 lambda error: said.append("not 3"))
+    journal.attempt([3], journal.wall(), lambda: said.append("sent 3"), lambda error: said.append("unsent 3"))
+    journal.take(held(4, machine), lambda: said.append("taken 4"), lambda error: said.append("not 4"))
+    journal.commit()
+    assert said == ["not 3", "unsent 3", "taken 4"] and 3 not in journal.held
+
+
 def test_a_sync_for_each_group_where_it_is_set():
     machine = Machine()
     journal = machine.start(sync=True)
@@ -613,3 +688,7 @@
         assert best is views[0]  # it holds the dead ones behind it
     else:
         assert best is None
+    for most in {v.live for v in views} | {0, -1}:  # none is begun that might not fit, a dead one always
+        best = plan.victim(views, bound, most)
+        assert best is None or best.live <= max(0, most)
+        assert best is not None or not any(v.live == 0 and not v.held for v in views)
