--- a/madderbeam/journal/store.py
+++ b/madderbeam/journal/store.py
@@ -224,7 +224,7 @@
         self.grouping = True
 
     def commit(self) -> None:
-        """Write what is staged, in one piece a segment, then let what follows from it happen, in its order."""
+        """Write what is staged, one piece a segment, then let what follows from it happen, in its order."""
         self.grouping = False
         staged, self.staged, self.staged_bytes = self.staged, [], 0
         if not staged:
