A restored message of a class that the settings have no more ends, and stops no other

Seen: a folder with a message of class 2, and settings with one class. The decision module failed on it (IndexError in Courier._arrived) and the turn's other events went with it: what else was restored, and the list. The guard's own end failed as well (Figures.ended), so that the message had no end at all.

Checked: three messages of three classes, restarted with the first class alone; none was delivered or ended within 15 s. Host.restore gave it to the decision module, which has no rule for it. Now it ends there as undeliverable, which is true whatever its class allowed, and one line says so; figures count it nowhere.

--- a/madderbeam/host/figures.py
+++ b/madderbeam/host/figures.py
@@ -18,8 +18,9 @@
         self.reloads = {True: 0, False: 0}  # SIGHUPs, by whether the file could be used
 
     def ended(self, what: str, cls: int) -> None:
-        """A message of this class has ended."""
-        self.ends[what][cls] += 1
+        """A message of this class has ended; of one that the settings have no more none are counted."""
+        if cls < len(self.classes):
+            self.ends[what][cls] += 1
 
     def forwarded(self, messages: int) -> None:
         """So many were written whole to an endpoint."""
--- a/madderbeam/host/turn.py
+++ b/madderbeam/host/turn.py
@@ -127,6 +127,10 @@
         if m.status:
             self.ends.notify(m)
             return
+        if m.cls >= len(self.s.classes):  # of a class that the settings have no more: nothing tells its rules
+            log.error("message %s was taken on in class %d, which there is not", m.id, m.cls)
+            self.ends.end(m, "undeliverable", 0)
+            return
         if not any(claims(m) for claims in self.claims):
             self.events.append(self.admission.arrival(m, restored=True))
         self.ends.guard(m)
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -88,6 +88,24 @@
     assert time.monotonic() - ready < 1.5
 
 
+@courier
+async def test_of_a_class_that_the_settings_have_no_more_messages_end_and_others_go_on(fleet):
+    # It ended the turn in which all that was restored and the list are told, and then its own end.
+    client = await fleet.inside()
+    for ident, kind, key in (("unsafe", "unsafe", ""), ("safe", "safe", ""), ("keyed", "keyed", "k")):
+        assert await client.put(ident, kind=kind, key=key, dest=5) == "+OK"
+    fleet.host.close()
+    e = await fleet.endpoint("a", dest=5)
+    fleet.raw["classes"] = fleet.raw["classes"][:1]
+    client = await fleet.inside()
+    ends = [await fleet.discovery.final() for _ in range(2)]
+    assert sorted(end["id"] for end in ends) == ["keyed", "unsafe"]
+    assert {end["status"] for end in ends} == {"undeliverable"}
+    assert (await e.call())[1]["x-request-id"] == "safe"
+    assert await client.put("next", dest=5) == "+OK"
+    assert (await e.call())[1]["x-request-id"] == "next"
+
+
 @courier
 async def test_a_torn_journal_is_cut_off_and_used(fleet):
     client = await fleet.outside()
