A call that is not written whole at the end of a planned restart counts as never run

PROTOCOL: a connection that breaks before the call's last byte is written never ran.

Checked: on a real socket with a body of 60 KB and 4 KB of buffers; the state at the close was 'trying'. And between Host._leave and Host.close, one turn of the loop apart, the rest could still be written.

Now Host._leave gives such calls up, with a reset, and records that they never ran before it goes; the next process tries them. Nobody is told, so that nothing is ended for its tries at that moment.

--- a/madderbeam/host/turn.py
+++ b/madderbeam/host/turn.py
@@ -316,6 +316,9 @@
                 break
             for front in self.fronts:
                 front.let_go()
+        for item in self.calls.give_up_unsent():
+            self.journal.missed(item.number)
+        self.journal.commit()
         for front in self.fronts:
             front.end()
         self._exit()
--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -336,6 +336,14 @@
                 call.connection.look()
         return len(self.out) < out
 
+    def give_up_unsent(self) -> list[Item]:
+        """Let go of the calls whose last byte is not written, which have never run: what had begun of them.
+        Nobody is told, since nothing more is decided."""
+        unsent = [call for call in self.out if not call.sent]
+        for call in unsent:
+            call.abandon()
+        return [item for call in unsent for item in call.items if item.begun and not item.ended]
+
     def spare(self) -> bool:
         """Close an idle connection, of the fullest pool; whether there was one."""
         pools = [pool for pool in self.pools.values() if pool.idle]
--- a/tests/test_last_answers.py
+++ b/tests/test_last_answers.py
@@ -86,3 +86,45 @@
         for endpoint in endpoints:
             endpoint.close()
     courier(test)(tmp_path)
+
+
+@courier
+async def test_a_call_that_is_not_written_whole_at_the_end_has_never_run(fleet):
+    # It was recorded as one that may have run: a restart ended an unsafe message with no call.
+    listener = socket.create_server(("127.0.0.1", 0))
+    listener.setblocking(False)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    fleet.discovery.target("e", listener.getsockname()[1], 10)
+    client = await fleet.inside()
+    stream = fleet.host.calls.network.stream
+
+    def small(address):
+        sock = stream(address)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return sock
+    fleet.host.calls.network.stream = small
+    assert await client.put("m", kind="unsafe", dest=10, body=b"x" * 60_000) == "+OK"
+    loop = asyncio.get_running_loop()
+    sock, _ = await bounded(loop.sock_accept(listener))
+    first = await bounded(loop.sock_recv(sock, 10))
+    assert first == b"POST /even" and states(fleet) == {"m": "trying"}
+    call, = fleet.host.calls.out
+    assert not call.sent
+    fleet.host.terminate()
+    fleet.host.clients.last_call()
+    fleet.host._leave()
+    while True:  # whatever the endpoint reads now: the rest must not come
+        try:
+            if not await bounded(loop.sock_recv(sock, 1 << 16)):
+                break
+        except ConnectionResetError:
+            break
+    assert not call.sent
+    fleet.host.close()
+    assert states(fleet) == {"m": "taken"}
+    await fleet.inside()
+    sock.close()
+    sock, _ = await bounded(loop.sock_accept(listener))  # it is tried by the next process
+    assert await bounded(loop.sock_recv(sock, 10)) == first
+    sock.close()
+    listener.close()
