Test of unread last answers tells its refusal by a wait, as PROTOCOL has it

Seen: on a busy machine test_answers_that_have_come_and_are_unread_at_the_end_are_recorded failed in several of 72 plays (six at a time): 'm2' was 'taken', not 'ended'. Cause: its 429 carries no Retry-After, so the decision module goes by its latency against the quickest good answer on a new connection (policy/health.py, table_full): the calls begin one after the other, and where the first took over 1/0.6 of the third's time, that one counts as met by a full table and is tried again. The courier does as it should; the verdict of the test hung on the clock.

Change: the answer carries a wait, which no full table's does, as PROTOCOL says of each 429.

--- a/tests/test_last_answers.py
+++ b/tests/test_last_answers.py
@@ -53,7 +53,9 @@
 @courier
 async def test_answers_that_have_come_and_are_unread_at_the_end_are_recorded(fleet):
     # One line of 200 is a delivery whatever follows; one that was turned away has never run.
-    texts = [answer(200), b"HTTP/1.1 200 OK\r\n", answer(429), answer(500), answer(200)[:8]]
+    # Without a wait, one that was turned away sooner than a good answer came would be taken for a full table.
+    full = answer(429, Retry_After="0.2")
+    texts = [answer(200), b"HTTP/1.1 200 OK\r\n", full, answer(500), answer(200)[:8]]
     endpoints = await calls_out(fleet, len(texts))
     for endpoint, text in zip(endpoints, texts, strict=True):
         endpoint.answer(text)
