A key that comes twice in one turn is taken on once

Seen: a client gives a keyed message up and hands it in again under a new id; the courier reads both in one look at its sockets (it was kept from reading meanwhile, or the client gave up early). Both were taken on and sent. With a window of 1 s and an endpoint that let the first call hang, the second message's first attempt began 2.0 s after the first one's: a second effect.

A message that is not answered yet is in Admission.arrived alone, so the newer one neither replaced it nor had its attempt's time.

Ruled out: the same id twice in one turn (one message, both are answered), a key that is held or over (replaced, or its window kept): unchanged.

Now the older one is refused, which is harmless, and forgotten before the newer one is told of. The books of the simulation compare the keys that arrive with the messages that do.

--- a/madderbeam/host/admission.py
+++ b/madderbeam/host/admission.py
@@ -45,6 +45,7 @@
         self.tenants = {t.name: n for n, t in enumerate(settings.tenants)}
         self.arrived: dict[int, tuple[Held, list[Answer]]] = {}  # not answered yet
         self.arriving: dict[str, int] = {}  # their ids
+        self.arriving_keys: dict[str, int] = {}
 
     def put(self, put: Put, reply: Answer) -> None:
         """A message is handed in; BadRequest if it can't be one of ours."""
@@ -86,6 +87,8 @@
             return
         self.arrived[m.number] = (m, [reply])
         self.arriving[m.id] = m.number
+        if m.key:
+            self.arriving_keys[m.key] = m.number
         self.tell(self.arrival(m, weight))
 
     def _checked(self, put: Put) -> tuple[int, int]:
@@ -121,7 +124,15 @@
                                 self.routing.affinity(m))
 
     def _replace(self, m: Held) -> None:
-        """A key that is still open here is handed in again only by a client that gave the older one up."""
+        """A key that is still open here is handed in again only by a client that gave the older one up. Both
+        may come in one turn: taken on side by side, neither would know of the other's attempt."""
+        if arrived := self.arriving_keys.pop(m.key, 0):
+            older, replies = self.arrived.pop(arrived)
+            del self.arriving[older.id]
+            self.tell(i.MessageGone(arrived))
+            self.figures.ended(DECLINED, older.cls)
+            for reply in replies:
+                reply.busy(0)
         old = self.journal.held.get(self.journal.open_keys.get(m.key, 0))
         if old is None:
             return
@@ -137,6 +148,7 @@
         """What has come in since the turn before, to be answered in this one."""
         arrived, self.arrived = self.arrived, {}
         self.arriving.clear()
+        self.arriving_keys.clear()
         return arrived
 
     def answer(self, arrived: dict[int, tuple[Held, list[Answer]]], actions: Iterable[i.Action]) -> None:
--- a/madderbeam/simulation/books.py
+++ b/madderbeam/simulation/books.py
@@ -53,6 +53,7 @@
         "queues": [d.number for d in c.dests.values() if d.queue], "open in the journal": j.open,
         "numbers of attempts": host.attempts.numbers, "guards": host.ends.guards, "calls out": host.calls.out,
         "arrivals": host.admission.arrived, "ids that arrive": host.admission.arriving,
+        "keys that arrive": host.admission.arriving_keys,
         "staged records": j.staged}
     for name, value in kept.items():
         if value:
@@ -255,6 +256,8 @@
         yield f"numbers of attempts are kept of messages that are over: {sorted(lost)[:5]}"
     if host.admission.arriving.keys() - {m.id for m, _ in host.admission.arrived.values()}:
         yield "ids arrive of messages that are answered"
+    if host.admission.arriving_keys != {m.key: n for n, (m, _) in host.admission.arrived.items() if m.key}:
+        yield "keys that arrive are not those of the messages that are not answered"
 
 
 def _list(host: Host) -> Wrong:
--- a/tests/test_key_window.py
+++ b/tests/test_key_window.py
@@ -6,7 +6,9 @@
 import time
 
 import pytest
-from loopback import Server, answer, bounded, courier, read_request, settings
+from loopback import Client, Server, answer, bounded, courier, read_request, settings
+from test_client_ends import Plain
+from test_client_ends import until as until_done
 
 WINDOW_S = 1.0
 BODY = b"x" * 60_000
@@ -165,3 +167,21 @@
         await bounded(until(lambda: not host.journal.held))
         assert endpoint.calls.empty() and fleet.discovery.finals.empty()
     run(tmp_path)
+
+
+@courier
+async def test_a_key_that_comes_twice_in_one_turn_is_taken_on_once(fleet):
+    # Its client gave the first one up, unread so far: both were taken on, and the second one went out behind
+    # the window of the first one's attempt, which nothing told it of.
+    fleet.raw = keyed()
+    endpoint = await fleet.endpoint("e")
+    await fleet.inside()
+    first, second = (Plain(fleet.port_of_host()) for _ in range(2))
+    first.send(Client.message("m1", kind="keyed", key="k1"))  # all has come before the courier reads any
+    second.send(Client.message("m2", kind="keyed", key="k1") + Client.message("m3", kind="keyed", key="k2"))
+    assert await second.answers(2) == b"+OK\r\n" * 2
+    assert await first.answers(1) == b"-BUSY\r\n"
+    assert {(await endpoint.call())[1]["x-request-id"] for _ in range(2)} == {"m2", "m3"}
+    await until_done(lambda: not fleet.host.journal.held and not fleet.host.courier.messages)
+    assert endpoint.calls.empty() and "m1" not in fleet.host.journal.over
+    assert fleet.host.figures.ends == {"succeeded": [0, 2, 0], "declined": [0, 1, 0], "aborted": [0, 0, 0]}
