The last thing done before the process ends is to answer what was read

Seen: as a planned end's time is up, sockets are looked at, what came is decided, and connections between requests are let go, over and over, 50 times at most. Letting go reads once more. Where a request came before each look, the one that was read by the fiftieth letting go was closed with no answer: 99 of 100.

Cause: Host._leave let go behind the turn, not before it. Ruled out: the usual way out of that loop, on which a turn comes behind all that was read.

Now connections are let go first, then sockets are looked at, and the turn is last. The test's clients set TCP_NODELAY, as its neighbours do: Nagle's algorithm held the crossing back.

--- a/madderbeam/host/turn.py
+++ b/madderbeam/host/turn.py
@@ -306,12 +306,12 @@
         """The time is up: whoever has sent a request hears what became of it, also where records are written
         slowly and more come meanwhile, and what endpoints have answered counts. SIGKILL may come amid it."""
         for _ in range(MOST_TURNS):
+            for front in self.fronts:
+                front.let_go()
             came = any([self.calls.look(), *(front.look() for front in self.fronts)])
-            self.rest()
+            self.rest()  # the last thing done: nothing is left read and not answered
             if not came:
                 break
-            for front in self.fronts:
-                front.let_go()
         for front in self.fronts:
             front.end()
         self._exit()
--- a/tests/test_last_requests.py
+++ b/tests/test_last_requests.py
@@ -6,6 +6,7 @@
 import pytest
 from loopback import Client, bounded, courier
 
+from madderbeam.host.turn import MOST_TURNS
 from madderbeam.ports.real import RealFile
 
 
@@ -15,6 +16,7 @@
     def __init__(self, port):
         self.sock = socket.create_connection(("127.0.0.1", port))
         self.sock.setblocking(False)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def send(self, data):
         assert self.sock.send(data) == len(data)
@@ -110,3 +112,29 @@
         assert await first.line() == await second.line() == b"+OK\r\n"
         assert await first.line() == await second.line() == b""
     courier(test)(tmp_path)
+
+
+@courier
+async def test_what_is_read_in_the_last_look_of_all_is_answered(fleet):
+    # A request comes before each time that sockets are looked at: the last one was read, and closed with no
+    # answer.
+    await fleet.endpoint("a")
+    await fleet.inside()
+    host, client, sent = fleet.host, Plain(fleet.port_of_host()), []
+    assert await client.put("m") == b"+OK\r\n"
+
+    def crossed(do):
+        def look():
+            sent.append(f"m{len(sent)}")
+            client.send(Client.message(sent[-1]))
+            return do()
+        return look
+    host.terminate()
+    host.clients.last_call()
+    host.clients.let_go, host.clients.look = crossed(host.clients.let_go), crossed(host.clients.look)
+    host._leave()
+    assert host.closed.done() and len(sent) == 2 * MOST_TURNS
+    got = b""
+    while part := await client.line():
+        got += part
+    assert got.count(b"\r\n") == len(sent)
