Answers larger than the system takes at once no longer close their connection

Seen: answers that waited for an earlier one leave together, up to 128 KiB. Where the system took less than a half of that at once, the connection was closed as that of a client that reads no answers, before it could have read any: an answer broke off in its middle, the ones behind it never came.

Cause: Client._write compared what is left with UNSENT. That bound is kept already: no request is taken while answers are unsent, or while over 64 KiB wait for an earlier one. Who really reads nothing is closed by time, as before. The comparison is gone.

--- a/madderbeam/transport/clients.py
+++ b/madderbeam/transport/clients.py
@@ -24,7 +24,7 @@
 BACKLOG = 512  # connections that wait to be taken up
 ACCEPTS = 16  # connections taken up in one turn: the usual clients wait for the turn's end
 PIPELINE = 32  # requests of one connection that may wait, or be handled in one go; what follows is held back
-UNSENT = 1 << 16  # bytes of answers that may wait for others, or for a client to read
+UNSENT = 1 << 16  # bytes of answers that may wait for an earlier one before no more requests are taken
 STRIKES = 3  # requests of one connection that can't be used, then it is closed
 PAUSE_S = 0.1  # a connection is not read from for so long after the first of them, then twice as long
 WHOLE_S = 2.0  # a client in the middle of a request must go on within this, a new one begin
@@ -396,9 +396,7 @@
         self.unsent = self.unsent[sent:]
         if sent:
             self.due = max(self.due, self.loop.time() + WHOLE_S)
-        if len(self.unsent) > UNSENT:  # it does not read its answers
-            self.close()
-        elif self.unsent:
+        if self.unsent:
             self.network.on_writable(self.sock, self._writable)
 
     def _writable(self) -> None:
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -170,6 +170,21 @@
     await bounded(sending)
 
 
+@door(hold=True)
+async def test_answers_larger_than_the_system_takes_at_once_are_no_reason_to_close(made, _):
+    # Its client was taken for one that reads no answers, before it could have read any.
+    client, held = await made.client()
+    held.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    size = 60_000
+    sending = asyncio.create_task(client.loop.sock_sendall(
+        client.sock, message("m1") + c(b"PING", b"x" * size) * 2))
+    await until(lambda: held.held > server.UNSENT)
+    made.replies[0].taken()
+    assert held.phase is Phase.OPEN and len(held.unsent) > server.UNSENT
+    assert await client.answers(5) == OK + (b"$%d\r\n%s\r\n" % (size, b"x" * size)) * 2
+    await bounded(sending)
+
+
 @door()
 async def test_a_flood_takes_no_more_than_its_share_of_a_turn(made, monkeypatch):
     flood, flooding = await made.client()
