Whoever waits as listening ends is taken up, also where room must be made first

Seen: with all places taken by idle connections, three new ones that had been made, and whose requests had come, were reset as the courier stopped listening at a planned end: no answer to any.

Cause: ClientServer.last_call went on only while the number of clients grew and was under the places' number. Where each new connection takes the place of an idle one, it does neither.

Now _accept says whether more may wait, and last_call goes on for as long as it does, over the queue's length at most. Ruled out: places below their number (taken up to the last before, tested by its neighbour).

Measured: the new test failed before (all three reset), passes 20 times of 20; tests of ends, clients, descriptors and last requests pass.

--- a/madderbeam/transport/clients.py
+++ b/madderbeam/transport/clients.py
@@ -582,26 +582,27 @@
             self.network.off_readable(self.sock)
             self.timers["rest"] = self.loop.call_later(REST_S, self._accepting)
 
-    def _accept(self) -> None:
+    def _accept(self) -> bool:
+        """Take up a few; whether more may wait."""
         for count in range(ACCEPTS):
             if self.sock is None:
-                return
+                return False
             if len(self.clients) + len(self.leaving) >= self.places.most:
                 if count:
-                    return  # room is made only for one that waits: if one does, this is called again
+                    return True  # room is made only for one that waits: if one does, this is called again
                 if not self.make_room():
                     self._rest()
-                    return
+                    return False
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 self.rested_at = 0.0
-                return
+                return False
             except OSError as error:
                 log.error("accepting: %s", error)
                 if error.errno not in NO_FILES or not self.make_room():
                     self._rest()
-                    return
+                    return False
                 continue
             sock.setblocking(False)
             with contextlib.suppress(OSError):
@@ -612,6 +613,7 @@
                 self.waiting -= 1
                 if not self.waiting:
                     self.rested_at = 0.0
+        return True
 
     def adopt(self, sock: Socket, state: dict[str, Any]) -> None:
         """Go on with a client of another process."""
@@ -677,10 +679,9 @@
 
     def last_call(self) -> None:
         """Take up those that have connected, then listen no more: those that waited would be reset."""
-        before = -1
-        while self.sock is not None and before < len(self.clients) < self.places.most:
-            before = len(self.clients)
-            self._accept()
+        for _ in range(BACKLOG + 1):  # no more can have waited
+            if not self._accept():
+                break
         self.stop_listening()
 
     def stop_listening(self) -> None:
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -327,6 +327,22 @@
     assert made.server.leaving == {}
 
 
+@door(places=Places(4, 1.0))
+async def test_who_waits_as_listening_ends_is_taken_up_also_where_room_must_be_made(made, _):
+    # Only as many as there were places for: the others, whose requests had come, were reset.
+    idle = [await made.client() for _ in range(4)]
+    late = [Plain(made.port) for _ in range(3)]
+    made.plains += late
+    for n, client in enumerate(late):
+        client.send(message(f"m{n}"))
+    made.server.last_call()
+    assert not made.server.listening
+    for client in late:
+        assert await client.answers(1) == OK
+    assert [await client.rest() for client, _ in idle[:3]] == [b""] * 3
+    assert [put.id for put in made.put] == ["m0", "m1", "m2"]
+
+
 # Pauses, and ends of sending
 
 
