A request that crosses the end of the process no longer cuts off the answer before it

Forced: a client is answered with 60 KB, of which the system still holds a part; its next request comes in the instant of the end. It got 32,768 bytes and a reset.

Cause: Client.end shut the connection and closed it at once. Over unread bytes that close is a reset, which takes along what the system has not sent yet: small answers as well, where many leave in one go.

Ruled out: an answer that was never written (a turn is the last thing done), TCP_NODELAY (set on all accepted connections). Reading the crossing request and dropping it would avoid the reset as well, but a request that was read counts as lost; it stays unread.

Now the end shuts all connections, and the process goes 0.15 s later, or as soon as all clients have ended their side: 3.55 s after SIGTERM at the latest, SIGKILL comes no sooner than 3.7 s.

--- a/madderbeam/host/turn.py
+++ b/madderbeam/host/turn.py
@@ -31,7 +31,9 @@
 
 MOST_TURNS = 50  # in one go; an attempt that can't be made is one, and a message has few
 # A planned restart, in seconds from SIGTERM: new clients come until LISTEN_S, calls may last until CALLS_S.
+# At EXIT_S all connections of clients are shut; those that they have not ended GRACE_S later are closed.
 LISTEN_S, CALLS_S, EXIT_S = 0.5, 3.2, 3.4
+GRACE_S = 0.15
 # What discovery's agent has counts as told from a process's first moment. It answers at once, or is silent
 # while discovery is down: then the list as it was last known has to do.
 FIRST_S = 0.3
@@ -314,7 +316,15 @@
                 break
         for front in self.fronts:
             front.end()
-        self._exit()
+        self._part(self.loop.time() + GRACE_S)
+
+    def _part(self, until: float) -> None:
+        """Clients are shut. A close over bytes that are unread would cut off what the system still holds of
+        their answers: they have until then to read it, and to end their side."""
+        if self.loop.time() >= until or all(front.over for front in self.fronts):
+            self._exit()
+        else:
+            self.loop.call_later(0.02, self._part, until)
 
     def _stop_clients(self) -> None:
         for front in self.fronts:
--- a/madderbeam/transport/clients.py
+++ b/madderbeam/transport/clients.py
@@ -428,12 +428,12 @@
             self._shut(self._leave_unread)
 
     def end(self) -> None:
-        """The process ends: close now, with all sent that can be."""
-        if self.unsent and not self.closed:
-            self._write()
-        if not self.closed:
-            self._shut(self._leave_unread if self.between_requests else self._drop)
-        self.close()
+        """The process ends: no request is taken any more, what is owed is sent and the sending ended."""
+        if not self.between_requests:
+            self._take_no_more()
+            self.flush()
+        elif self.phase is Phase.OPEN:
+            self._shut(self._leave_unread)
 
     def _shut(self, readable: Callable[[], None]) -> None:
         """End the sending, and wait for the client to do so; `readable` sees to what comes until then."""
@@ -702,7 +702,7 @@
         return any([client.look() for client in list(self.clients)])
 
     def end(self) -> None:
-        """The process ends: all that can be sent is."""
+        """The process ends: all that is owed is sent, and all connections are shut; `close` is the last."""
         self.stop_listening()
         for client in [*self.clients, *self.leaving]:
             client.end()
