--- a/madderbeam/transport/clients.py
+++ b/madderbeam/transport/clients.py
@@ -24,7 +24,7 @@
 BACKLOG = 512  # connections that wait to be taken up
 ACCEPTS = 16  # connections taken up in one turn: the usual clients wait for the turn's end
 PIPELINE = 32  # requests of one connection that may wait, or be handled in one go; what follows is held back
-UNSENT = 1 << 16  # bytes of answers that may wait for others, or for a client to read
+UNSENT = 1 << 16  # bytes of answers that may wait for an earlier one before no more requests are taken
 STRIKES = 3  # requests of one connection that can't be used, then it is closed
 PAUSE_S = 0.1  # a connection is not read from for so long after the first of them, then twice as long
 WHOLE_S = 2.0  # a client in the middle of a request must go on within this, a new one begin
@@ -396,9 +396,7 @@
         self.unsent = self.unsent[sent:]
         if sent:
             self.due = max(self.due, self.loop.time() + WHOLE_S)
-        if len(self.unsent) > UNSENT:  # it does not read its answers
-            self.close()
-        elif self.unsent:
+        if self.unsent:
             self.network.on_writable(self.sock, self._writable)
 
     def _writable(self) -> None:
@@ -430,12 +428,12 @@
             self._shut(self._leave_unread)
 
     def end(self) -> None:
-        """The process ends: close now, with all sent that can be."""
-        if self.unsent and not self.closed:
-            self._write()
-        if not self.closed:
-            self._shut(self._leave_unread if self.between_requests else self._drop)
-        self.close()
+        """The process ends: no request is taken any more, what is owed is sent and the sending ended."""
+        if not self.between_requests:
+            self._take_no_more()
+            self.flush()
+        elif self.phase is Phase.OPEN:
+            self._shut(self._leave_unread)
 
     def _shut(self, readable: Callable[[], None]) -> None:
         """End the sending, and wait for the client to do so; `readable` sees to what comes until then."""
@@ -584,26 +582,27 @@
             self.network.off_readable(self.sock)
             self.timers["rest"] = self.loop.call_later(REST_S, self._accepting)
 
-    def _accept(self) -> None:
+    def _accept(self) -> bool:
+        """Take up a few; whether more may wait."""
         for count in range(ACCEPTS):
             if self.sock is None:
-                return
+                return False
             if len(self.clients) + len(self.leaving) >= self.places.most:
                 if count:
-                    return  # room is made only for one that waits: if one does, this is called again
+                    return True  # room is made only for one that waits: if one does, this is called again
                 if not self.make_room():
                     self._rest()
-                    return
+                    return False
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 self.rested_at = 0.0
-                return
+                return False
             except OSError as error:
                 log.error("accepting: %s", error)
                 if error.errno not in NO_FILES or not self.make_room():
                     self._rest()
-                    return
+                    return False
                 continue
             sock.setblocking(False)
             with contextlib.suppress(OSError):
@@ -614,6 +613,7 @@
                 self.waiting -= 1
                 if not self.waiting:
                     self.rested_at = 0.0
+        return True
 
     def adopt(self, sock: Socket, state: dict[str, Any]) -> None:
         """Go on with a client of another process."""
@@ -679,10 +679,9 @@
 
     def last_call(self) -> None:
         """Take up those that have connected, then listen no more: those that waited would be reset."""
-        before = -1
-        while self.sock is not None and before < len(self.clients) < self.places.most:
-            before = len(self.clients)
-            self._accept()
+        for _ in range(BACKLOG + 1):  # no more can have waited
+            if not self._accept():
+                break
         self.stop_listening()
 
     def stop_listening(self) -> None:
@@ -703,7 +702,7 @@
         return any([client.look() for client in list(self.clients)])
 
     def end(self) -> None:
-        """The process ends: all that can be sent is."""
+        """The process ends: all that is owed is sent, and all connections are shut; `close` is the last."""
         self.stop_listening()
         for client in [*self.clients, *self.leaving]:
             client.end()
