A call goes only where its endpoint was as it was chosen, or not at all

Seen: an id of discovery's list may come with another address or another pod_group while a call to it waits for its connection or for its record. With the record held back and the list told in between, the message went to the old address (which may be another destination's by now), or to an endpoint that serves another destination.

At fault: Calls._write compared the address alone, so another destination at the same address passed; Calls._begun, behind the record, asked for drain and wait only and compared nothing.

Change: a call keeps the Pool that it was chosen for; a pool stands for one address, topic and destination, and is another one when any of them changes. Both looks before the first byte ask for the same pool. A call that is handed to another process says whether its endpoint still is where it was.

Ruled out: a connection to an old address is not kept for the new one (Calls._keep compares addresses); an id that has gone and comes again gets a new number.

--- a/madderbeam/host/changes/applying.py
+++ b/madderbeam/host/changes/applying.py
@@ -104,7 +104,7 @@
             address = None
         if old is None:
             address = address or fields.address(new.address) or ("", 0)
-            calls.place(entry.endpoint, address, new.topic)
+            calls.place(entry.endpoint, address, new.topic, entry.destination)
             self.host.routing.placed([(entry, address)])
         if entry.state is i.EndpointState.DRAINING:
             calls.close_idle(entry.endpoint)
--- a/madderbeam/host/handover.py
+++ b/madderbeam/host/handover.py
@@ -149,7 +149,8 @@
     if isinstance(host.watch, Watch):
         host.watch.rev = whole["rev"]
     for number, address in whole["pools"].items():
-        host.calls.place(number, address)
+        if entry := host.listing.entries.get(number):
+            host.calls.place(number, address, dest=entry.destination)
     host.routing.configure(host.config.known.get("routing"))
     host.routing.placed((entry, whole["pools"][number]) for number, entry in host.listing.entries.items()
                         if number in whole["pools"])
--- a/madderbeam/host/turn.py
+++ b/madderbeam/host/turn.py
@@ -232,7 +232,8 @@
         self.routing.placed(read)
         entries = [entry for entry, _ in read]
         for entry, address in read:
-            self.calls.place(entry.endpoint, address, self.listing.topics.get(entry.endpoint, ""))
+            self.calls.place(entry.endpoint, address, self.listing.topics.get(entry.endpoint, ""),
+                             entry.destination)
         if form is not i.ListForm.DELTA:
             entries += self.listing.kept(change, entries)
             for number in self.listing.unnamed(entries):
--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -83,8 +83,11 @@
 
 @dataclass
 class Pool:
+    """The connections to an endpoint, as long as it stays where it is."""
+
     address: Address
     topic: str = ""  # of a Kafka partner
+    dest: int = 0
     idle: list[Connection] = field(default_factory=list)  # the most recently used last
     timers: dict[Connection, asyncio.TimerHandle] = field(default_factory=dict)
     strange: bool = False  # an answer from there could not be read, which was told
@@ -131,6 +134,7 @@
 
     def __init__(self, calls: Calls, endpoint: int, items: list[Item], path: str = "") -> None:
         self.calls, self.endpoint, self.items = calls, endpoint, items
+        self.pool = calls.pools.get(endpoint)  # where the endpoint was as it was chosen
         self.path = path  # of a probe
         self.started = calls.loop.time()
         self.status, self.body, self.received = 0, bytearray(), 0
@@ -276,13 +280,13 @@
         self.places: Places | None = None
         self.busy: Counter[int] = Counter()  # calls out by endpoint, where places are shared
 
-    def place(self, endpoint: int, address: Address, topic: str = "") -> None:
-        """Where the endpoint is; one that moved gets new connections. `topic`: it is a Kafka partner's
-        node."""
+    def place(self, endpoint: int, address: Address, topic: str = "", dest: int = 0) -> None:
+        """Where the endpoint is; one that moved gets new connections, and nothing that was meant for it where
+        it was. `topic`: it is a Kafka partner's node."""
         pool = self.pools.get(endpoint)
-        if pool is None or (pool.address, pool.topic) != (address, topic):
+        if pool is None or (pool.address, pool.topic, pool.dest) != (address, topic, dest):
             self.close_idle(endpoint)
-            self.pools[endpoint] = Pool(address, topic)
+            self.pools[endpoint] = Pool(address, topic, dest)
 
     def forget(self, endpoint: int) -> None:
         self.close_idle(endpoint)
@@ -389,7 +393,7 @@
             call.finish(item, Outcome(Result.TIMEOUT if item.begun else Result.CONNECT_FAILED))
 
     def _start(self, call: Call) -> None:
-        pool = self.pools.get(call.endpoint)
+        pool = call.pool
         if pool is None:
             self._unsent(call, Result.MOOT)
             return
@@ -458,6 +462,7 @@
                   n.fresh_timeout_us, n.fresh, n.begun] for n in call.items if not n.ended]
         return {"endpoint": call.endpoint, "items": items, "started": call.started,
                 "deadline": call.deadline, "address": list(call.connection.address),
+                "placed": self.pools.get(call.endpoint) is call.pool,
                 "bundle": len(call.items), "rest": call.connection.rest,
                 "connected": call.connection.connected,
                 "write_by": call.write_by if call.write_by < math.inf else None}
@@ -468,6 +473,8 @@
         call = Call(self, state["endpoint"], items)
         call.started, call.deadline = state["started"], state["deadline"]
         call.bundled = state["bundle"] > 1
+        if not state.get("placed", True):
+            call.pool = None  # the endpoint is elsewhere by now
         call.write_by = state.get("write_by") or math.inf
         connection = Connection(self.loop, self.network, (state["address"][0], state["address"][1]), sock)
         self._goes_out(call)
@@ -491,9 +498,7 @@
         call.connection = connection
         items = [i for i in call.items if not i.ended]
         call.items, call.bundled = items, len(items) > 1
-        pool = self.pools.get(call.endpoint)
-        moved = pool is not None and pool.address != connection.address  # while its connection was being made
-        if not items and not call.path or moved or not self.hooks.may_write(call.endpoint):
+        if not items and not call.path or not self._may_write(call):
             self._unsent(call, Result.MOOT)
             self._keep(call.endpoint, connection)
             return
@@ -502,6 +507,10 @@
         else:
             self._begun(call, connection, True)
 
+    def _may_write(self, call: Call) -> bool:
+        """By what was learnt since it was chosen: the endpoint may have moved, or serve others now."""
+        return self.pools.get(call.endpoint) is call.pool and self.hooks.may_write(call.endpoint)
+
     def _recorded(self, call: Call, connection: Connection, may: bool) -> None:
         """Its record is written. Where that, or its connection, took time, answers that stand unread by now
         are read first: a wait that one of them tells holds for this call too."""
@@ -517,7 +526,7 @@
         items = call.items
         # The record may have been written slowly: what held before it is looked at again.
         call.write_by = self.loop.time() + (self.hooks.write_s(items) if may and items else math.inf)
-        if not may or call.write_by <= self.loop.time() or not self.hooks.may_write(call.endpoint):
+        if not may or call.write_by <= self.loop.time() or not self._may_write(call):
             self._unsent(call, Result.MOOT)
             self._keep(call.endpoint, connection)
             return
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -199,6 +199,40 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(("port", "dest"), [("same", 8), ("other", 7)])
+def test_an_endpoint_that_moves_while_a_connection_is_made_gets_no_call_on_it(port, dest):
+    # Its own address may have been given to another destination, whose endpoint would get the message.
+    async def run():
+        endpoint = await Endpoint().start()
+        o = Outcomes()
+        o.calls.place(1, ("127.0.0.1", endpoint.port), dest=7)
+        o.calls.send(1, [c.Item(0, 0, "a", "", b"x", 5_000_000)])
+        o.calls.place(1, ("127.0.0.1", endpoint.port if port == "same" else free_port()), dest=dest)
+        assert await bounded(o.ended.get()) == ("a", c.Outcome(Result.MOOT))
+        assert endpoint.calls.empty() and o.begun == []
+        o.calls.close()
+        await endpoint.stop()
+    asyncio.run(run())
+
+
+def test_a_call_whose_endpoint_moved_is_not_sent_by_the_process_that_goes_on_with_it_either():
+    async def run():
+        endpoint = await Endpoint().start()
+        before, after = Outcomes(), Outcomes()
+        before.calls.place(1, ("127.0.0.1", endpoint.port), dest=7)
+        before.calls.send(1, [c.Item(0, 0, "a", "", b"x", 5_000_000)])
+        call, = before.calls.out
+        for o in (before, after):
+            o.calls.place(1, ("127.0.0.1", endpoint.port), dest=8)
+        after.calls.adopt(call.connection.sock.dup(), before.calls.state(call))
+        before.calls.close()
+        assert await bounded(after.ended.get()) == ("a", c.Outcome(Result.MOOT))
+        assert endpoint.calls.empty() and after.begun == []
+        after.calls.close()
+        await endpoint.stop()
+    asyncio.run(run())
+
+
 def test_probes():
     async def run():
         endpoint = await Endpoint(answer(200), answer(503), "reset").start()
--- a/tests/test_learnt_late.py
+++ b/tests/test_learnt_late.py
@@ -94,6 +94,39 @@
     assert fleet.discovery.finals.empty()
 
 
+@pytest.mark.parametrize("there", ["another destination", "another address"])
+def test_an_endpoint_that_moves_while_the_record_is_written_gets_none_of_it(there, tmp_path):
+    # It went to where the endpoint was as it was chosen, which another destination may have by now.
+    async def test():
+        async with Fleet(tmp_path) as fleet:
+            await moved(fleet, there)
+    asyncio.run(bounded(test()))
+
+
+async def moved(fleet, there):
+    a, b = await gate(fleet, "a"), await gate(fleet, "b")
+    del fleet.discovery.targets["b"]
+    client = await warmed(fleet, a)
+    slow = Slow(fleet.host.journal)
+    assert await client.put("u", kind="unsafe") == "+OK"
+    go = await slow.done()
+    if there == "another destination":
+        fleet.discovery.target("b", b.port, 7)
+        fleet.discovery.target("a", a.port, 8)
+    else:
+        fleet.discovery.target("a", b.port, 7)
+    fleet.discovery.rev += 1
+    fleet.discovery._push(fleet.discovery.whole())
+    while fleet.host.watch.rev != fleet.discovery.rev:
+        await asyncio.sleep(0.005)
+    go()
+    (await slow.done())()
+    assert (await b.call())[0] == "u" and a.calls.empty()  # proved not to have run, though it is unsafe
+    while fleet.host.journal.held:
+        await asyncio.sleep(0.005)
+    assert fleet.discovery.finals.empty()
+
+
 @courier
 async def test_a_wait_that_is_learnt_while_the_record_is_written_holds_the_call_back(fleet):
     a = await gate(fleet, "a", "n1")
