A drain holds whatever else of its entry can't be read; names are not looked up

Seen: an entry of discovery's list with "terminating" or "terminated" beside a field that can't be read (a rate below nothing, no address, another kind of topics) left its endpoint in service: new calls went on going there beyond the grace. "An entry that can't be read leaves its endpoint as it was" counted for its state too (Listing.read). An entry with a host name was taken, and each new connection looked it up in connect_ex, which holds the loop for as long as nobody answers; a name such as "ä..b" raised UnicodeError there. A port of other scripts' digits passed as one, a port 0 too.

Change: where an entry can't be read, its known id and its state are looked at alone, and an end of service binds. On the platform, where there is no DNS, an address that needs a look-up (localhost apart) can't be read, nor one without a port; beside one program names stay as they are. Ports are ASCII digits.

Ruled out: rev as text, as a fraction and backwards is followed; an unreadable rate counts as strange.

--- a/madderbeam/config/platform.py
+++ b/madderbeam/config/platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 import secrets
 from collections.abc import Mapping
@@ -75,11 +76,26 @@
 def parse_address(text: Any, field: str) -> Address:
     """'10.0.0.4:6379' as (host, port)."""
     host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not colon or not port.isdigit() or not 0 <= int(port) <= 65535:
-        raise ConfigError(f"{field}: must be HOST:PORT, not {text!r}")
+    digits = port.isascii() and port.isdigit() and len(port) <= 5
+    if not host or not colon or not digits or int(port) > 65535:
+        raise ConfigError(f"{field}: must be HOST:PORT, not {text!r:.200}")
     return host.strip("[]"), int(port)
 
 
+def dialed_address(text: Any, field: str) -> Address:
+    """As parse_address, of one that can be connected to without a look-up: that would stall the loop, for
+    seconds where nobody answers it."""
+    host, port = parse_address(text, field)
+    try:
+        if host != "localhost":
+            ipaddress.ip_address(host)
+    except ValueError as error:
+        raise ConfigError(f"{field}: {error!s:.200}") from None
+    if not port:
+        raise ConfigError(f"{field}: must have a port, not {text!r}")
+    return host, port
+
+
 def load(env: Mapping[str, str], disk: Disk) -> Config:
     """The configuration; the environment wins where both give a value."""
     raw = _read(env, disk)
--- a/madderbeam/host/assembly.py
+++ b/madderbeam/host/assembly.py
@@ -6,7 +6,7 @@
 import importlib
 from collections.abc import Callable
 
-from madderbeam.config.platform import Config
+from madderbeam.config.platform import Config, dialed_address, parse_address
 from madderbeam.host.admission import Admission
 from madderbeam.host.attempts import Attempts
 from madderbeam.host.bans import RESERVED, Bans
@@ -83,7 +83,9 @@
         journal = importlib.import_module("madderbeam.host.standby.journal").WaitingJournal
     host.journal = journal(ports.disk, ports.clock, config.state, room, remembered_s(s), host.later,
                            bool(config.sidecar and config.sidecar.sync))
-    host.listing = Listing(s, config.zones, host.clock, host.bans)
+    # Beside one program an endpoint may stand there by its name.
+    host.listing = Listing(s, config.zones, host.clock, host.bans,
+                           parse_address if config.sidecar else dialed_address)
     host.routing = Routing(config, host.listing, ports.clock)
 
 
--- a/madderbeam/host/listing.py
+++ b/madderbeam/host/listing.py
@@ -8,13 +8,14 @@
 from dataclasses import replace
 from typing import Any
 
-from madderbeam.config.platform import ConfigError, parse_address
+from madderbeam.config.platform import ConfigError, dialed_address
 from madderbeam.policy import interface as i
 from madderbeam.ports import Address
 
 STATES = {"in_service": i.EndpointState.READY, "terminating": i.EndpointState.DRAINING,
           "terminated": i.EndpointState.GONE}
 READY = i.EndpointState.READY
+UNREADABLE = (LookupError, TypeError, ValueError, OverflowError, AttributeError, ConfigError)  # of an entry
 EVER = 4096  # ids that are known to have been listed, the newest
 log = logging.getLogger(__name__)
 
@@ -23,11 +24,12 @@
     """Numbers for the endpoints' ids, what each is, and the waits that destinations told.
 
     Times are the monotonic clock's microseconds. `bans`: ids that are out by hand, whatever is told of them.
+    `address`: reads where an endpoint is; ConfigError if it can't be used.
     """
 
     def __init__(self, settings: i.Settings, zones: tuple[str, ...], clock: Callable[[], int],
-                 bans: Container[str] = ()) -> None:
-        self.s, self.clock, self.bans = settings, clock, bans
+                 bans: Container[str] = (), address: Callable[[Any, str], Address] = dialed_address) -> None:
+        self.s, self.clock, self.bans, self.address = settings, clock, bans, address
         self.kinds = {k.name: n for n, k in enumerate(settings.kinds)}
         self.zones = {z: n for n, z in enumerate(zones)}
         self.zone_names = tuple(zones)
@@ -52,20 +54,25 @@
         self.strange: set[str] = set()  # entries that can't be read, as the log was told of them
         self.puzzled = False  # the newest list told of one in a new way: it should be asked for again
 
-    def read(self, change: dict[str, Any]) -> list[tuple[i.ListEntry, Address]]:
-        """The entries of a change that can be read, now part of the list."""
-        found, strange = [], set()
+    def read(self, change: dict[str, Any]) -> list[tuple[i.ListEntry, Address | None]]:
+        """The entries of a change that can be read, now part of the list, and where each is, None: where it
+        was. One that can't be read may still end its endpoint's service: that binds."""
+        found: list[tuple[i.ListEntry, Address | None]] = []
+        strange = set()
         for target in change.get("targets", []):
             try:
                 entry, address = self._entry(target)
-            except (LookupError, TypeError, ValueError, OverflowError, AttributeError, ConfigError) as error:
+            except UNREADABLE as error:
                 strange.add(f"{error!r}: {target!r:.200}")
-                continue
+                try:
+                    entry, address = self._drained(target), None
+                except UNREADABLE:
+                    continue
             found.append((entry, address))
             self.entries[entry.endpoint] = entry
             self.dests.add(entry.destination)
         for text in strange - self.strange:
-            log.error("discovery: an entry that can't be read, its endpoint stays as it was: %s", text)
+            log.error("discovery: an entry that can't be read, its endpoint stays as it was, but for a drain: %s", text)
         self.puzzled = not strange <= self.strange
         # Those of a whole list are all that there are now.
         self.strange = strange if change.get("all") or len(self.strange) > EVER else self.strange | strange
@@ -78,7 +85,7 @@
             raise ValueError("an id or a rate that is none")
         kind, zone = self.kinds.get(target.get("model", ""), 0), self.zones.get(target.get("az", ""), 0)
         dest, state = int(target["pod_group"]), STATES[target["state"]]
-        address = parse_address(target["endpoint"], "endpoint")
+        address = self.address(target["endpoint"], "endpoint")
         topic, subscribed = str(target.get("topic") or ""), tuple(map(str, target.get("topics") or ()))
         self.drains_passed_on.pop(uid, None)
         number = self.number(uid)
@@ -91,10 +98,14 @@
             self.subscribed[number] = subscribed
         else:
             self.subscribed.pop(number, None)
-        if uid in self.bans:
-            return self._kept_out(entry), address
-        self.told.pop(number, None)
-        return entry, address
+        return self._by_bans(uid, entry), address
+
+    def _drained(self, target: dict[str, Any]) -> i.ListEntry:
+        """Of an entry that can't be read: its endpoint, if it is known and wants nothing new by it."""
+        entry, state = self.entries[self.uids[target["uid"]]], STATES[target["state"]]
+        if state is READY:
+            raise ValueError("it stays as it was")
+        return self._by_bans(target["uid"], replace(entry, state=state))
 
     def number(self, uid: str) -> int:
         """The endpoint's number, its first one if it was not listed."""
@@ -109,6 +120,13 @@
 
     # By hand
 
+    def _by_bans(self, uid: str, entry: i.ListEntry) -> i.ListEntry:
+        """An entry as it was told, or as it is by hand."""
+        if uid in self.bans:
+            return self._kept_out(entry)
+        self.told.pop(entry.endpoint, None)
+        return entry
+
     def _kept_out(self, entry: i.ListEntry) -> i.ListEntry:
         """As the turn sees one that is out by hand: it wants nothing new."""
         self.told[entry.endpoint] = entry.state
--- a/madderbeam/host/turn.py
+++ b/madderbeam/host/turn.py
@@ -229,9 +229,10 @@
         form = form or (i.ListForm.FULL if change.get("all") else i.ListForm.DELTA)
         self.routing.configure(change.get("routing"))
         read = self.listing.read(change)
-        self.routing.placed(read)
         entries = [entry for entry, _ in read]
-        for entry, address in read:
+        placed = [(entry, address) for entry, address in read if address is not None]
+        self.routing.placed(placed)
+        for entry, address in placed:
             self.calls.place(entry.endpoint, address, self.listing.topics.get(entry.endpoint, ""),
                              entry.destination)
         if form is not i.ListForm.DELTA:
--- a/tests/test_strange_lists.py
+++ b/tests/test_strange_lists.py
@@ -12,7 +12,10 @@
 STRANGE = {
     "no id": {"uid": None}, "an id that is a list": {"uid": ["a"]}, "no address": {"endpoint": None},
     "an address with no port": {"endpoint": "127.0.0.1"},
-    "a port that is none": {"endpoint": "127.0.0.1:99999"},
+    "a port that is none": {"endpoint": "127.0.0.1:99999"}, "no port": {"endpoint": "127.0.0.1:0"},
+    "a port that is no digit": {"endpoint": "127.0.0.1:\u00b2"},
+    "a port of another script": {"endpoint": "127.0.0.1:\u0667\u0667"},
+    "a name": {"endpoint": "nowhere.invalid:80"}, "a name that can't be": {"endpoint": "\u00e4..b:80"},
     "a state of its own": {"state": "resting"}, "a state that is a list": {"state": []},
     "no destination": {"pod_group": "many"}, "an endless destination": {"pod_group": float("inf")},
     "an endless rate": {"capacity_hint": float("inf")},
@@ -74,6 +77,32 @@
     asyncio.run(bounded(test()))
 
 
+@pytest.mark.parametrize(("state", "whole"),
+                         [("terminating", True), ("terminating", False), ("terminated", False)])
+@pytest.mark.parametrize("name", [name for name, odd in STRANGE.items() if not odd.keys() & {"uid", "state"}])
+def test_a_drain_holds_whatever_else_of_its_entry_can_not_be_read(name, state, whole, tmp_path):
+    # Its endpoint stayed in service: what is new went on going there.
+    async def test():
+        async with Fleet(tmp_path) as fleet:
+            a, b = await fleet.endpoint("a"), await fleet.endpoint("b")
+            client, discovery = await fleet.inside(), fleet.discovery
+            await bounded(discovery.watches.get())
+            await bounded(settled(fleet))
+            discovery.targets["a"].update(STRANGE[name], state=state)
+            discovery.rev += 1
+            discovery._push(discovery.whole() if whole else
+                            {"rev": discovery.rev, "all": False, "targets": [discovery.targets["a"]]})
+            assert (await bounded(discovery.watches.get())).endswith("from=0")
+            await bounded(settled(fleet))
+            for known in entries(fleet):
+                assert known == {"b": "READY", **({"a": "DRAINING"} if state == "terminating" else {})}
+            for n in range(3):
+                assert await client.put(f"m{n}") == "+OK"
+                assert (await b.call())[1]["x-request-id"] == f"m{n}"
+            assert a.calls.empty()
+    asyncio.run(bounded(test()))
+
+
 @pytest.mark.parametrize("line", [
     b'{"rev":2,"all":true}', b'{"rev":2,"all":true,"targets":{}}', b'{"all":true,"targets":[]}',
     b'{"rev":Infinity,"all":true,"targets":[]}', b'{"rev":[],"all":true,"targets":[]}', b'[1]', b'{"rev":2,]',
