A told wait reaches the decisions with its headers, also from an endpoint that has gone

Seen: an endpoint answers 429 with Retry-After and holds the last bytes of the body back. The last look before writing (Listing.may_write) knew the wait as the headers were read, the decision module only with the end of the attempt, up to 0.5 s later. Each message that came meanwhile was chosen and held back in turn after turn, three times in 15 ms, and was handed back ("deferred", 1000 ms, which nobody told) with no call. The same held for a wait that no attempt reports: of a probe, or of a 200 whose first line was enough.

Seen: an endpoint that has left the list with a call out answers 429 with Retry-After. Listing.told_wait passed it by, as its entry was gone, and a call to a sibling that was chosen before and whose connection came up behind it went out amid the wait.

At fault: Call.head told the listing alone; Listing.told_wait and _wait_key knew only endpoints that are listed now. Now Host.told_wait tells the decision module in the same moment, by the field that waits passed on by others use (closed_until_us), and the listing remembers for whom the newest endpoints that went tell waits.

--- a/madderbeam/host/assembly.py
+++ b/madderbeam/host/assembly.py
@@ -55,7 +55,7 @@
     host.attempts = Attempts(s, host.journal, host.listing, host.ends, host.tell, host.maybe_exit,
                              host.figures)
     hooks = Hooks(host.listing.may_write, host.attempts.begin, host.attempts.ended,
-                  host.listing.told_wait, host.attempts.probed, host.attempts.late, host.figures.forwarded,
+                  host.told_wait, host.attempts.probed, host.attempts.late, host.figures.forwarded,
                   host.attempts.write_s)
     host.calls = Calls(loop, network, hooks, s.connection_idle_us, s.connect_timeout_us,
                        int(config.sockets * IDLE_SHARE))
--- a/madderbeam/host/listing.py
+++ b/madderbeam/host/listing.py
@@ -41,6 +41,7 @@
         self.topics: dict[int, str] = {}  # of endpoints that are a Kafka partner's
         self.subscribed: dict[int, tuple[str, ...]] = {}  # topics of the federation that it wants notices of
         self.waits: dict[tuple[int, int], int] = {}  # told waits, by destination or route: when they end
+        self.left: dict[int, tuple[int, int]] = {}  # endpoints that have gone: whose waits they still tell
         # Whether a destination is served here now, where another courier may serve it.
         self.serves: Callable[[int], bool] | None = None
         # Ids that another courier heard to drain, until this one's list tells of them.
@@ -148,8 +149,11 @@
 
     def forget(self, endpoint: int) -> None:
         """It has gone."""
-        if entry := self.entries.pop(endpoint, None):
-            self.waits.pop((entry.destination, endpoint), None)
+        if endpoint in self.entries:
+            self.left[endpoint] = self._wait_key(endpoint)
+            self.waits.pop((self.entries.pop(endpoint).destination, endpoint), None)
+            if len(self.left) > EVER:
+                del self.left[next(iter(self.left))]
         self.told.pop(endpoint, None)
         self.topics.pop(endpoint, None)
         self.subscribed.pop(endpoint, None)
@@ -184,14 +188,18 @@
         One that was told here and ends later holds on."""
         found = [e for e in self.entries.values()
                  if e.destination == dest and uid in ("", self.names[e.endpoint])]
-        for key in {self._wait_key(e.endpoint) for e in found}:
+        return self._closed(found, until)
+
+    def _closed(self, entries: list[i.ListEntry], until: int) -> tuple[i.ListEntry, ...]:
+        """These, under a wait until then at least."""
+        for key in {self._wait_key(e.endpoint) for e in entries}:
             self.waits[key] = max(self.waits.get(key, 0), until)
-        return tuple(replace(e, closed_until_us=self.waits[self._wait_key(e.endpoint)]) for e in found)
+        return tuple(replace(e, closed_until_us=self.waits[self._wait_key(e.endpoint)]) for e in entries)
 
     def _wait_key(self, endpoint: int) -> tuple[int, int]:
         entry = self.entries.get(endpoint)
         if entry is None:
-            return (-1, endpoint)
+            return self.left.get(endpoint, (-1, endpoint))
         return (entry.destination, endpoint if self._kind(entry).routes_apart else -1)
 
     def waits_by_name(self) -> list[tuple[int, str, int]]:
@@ -200,12 +208,12 @@
         return [(dest, self.names.get(endpoint, ""), until) for (dest, endpoint), until in self.waits.items()
                 if dest >= 0 and until > now]
 
-    def told_wait(self, endpoint: int, wait_us: int) -> None:
-        """An answer told to wait for so long."""
-        if endpoint not in self.entries:
-            return  # it has left the list: the decision module still heeds it for the destination
+    def told_wait(self, endpoint: int, wait_us: int) -> tuple[i.ListEntry, ...]:
+        """An answer told to wait for so long: the entries that are under it. One that has left the list still
+        tells it for its destination."""
         key = self._wait_key(endpoint)
-        self.waits[key] = max(self.waits.get(key, 0), self.clock() + wait_us)
+        under = [e for e in self.entries.values() if self._wait_key(e.endpoint) == key]
+        return self._closed(under, self.clock() + wait_us)
 
     def may_write(self, endpoint: int) -> bool:
         """News that came while a connection was being made holds for the call that waits for it."""
--- a/madderbeam/host/turn.py
+++ b/madderbeam/host/turn.py
@@ -258,6 +258,12 @@
         """The decision module hears of entries, as they are to be shown."""
         self.tell(i.EndpointsListed(form, tuple(map(self.listing.shown, entries))))
 
+    def told_wait(self, endpoint: int, wait_us: int) -> None:
+        """The headers of an answer told to wait. The decision module hears of it with no regard to what
+        becomes of the answer: what it sent before that would be held back, and lose its tries."""
+        if under := self.listing.told_wait(endpoint, wait_us):
+            self.list_told(i.ListForm.DELTA, under)
+
     def _routed(self) -> None:
         """The decision module goes by the pools as they are now."""
         self.routing.refresh()
