A request that is written in part goes no further once its destination told to wait

Seen: the rest of a request (a bundle, or one behind a full buffer) went out as the endpoint read on, however long after another answer of its destination had told to wait: the call began amid the wait. At fault: Connection._write was the writer's callback itself, and nothing was asked between the first and the last byte. Now each further part asks Exchange.held_back: a call under a wait, a drain or a changed list is reset, has never run, and is told so (MOOT, which says nothing against the endpoint).

Seen: calls whose connections come up late each read what stands unread on all others first.

Checked: the three tests fail without the change (the call timed out with its rest written on; no look before a further part; 39,800 reads for 200 calls) and pass 20 times of 20 with it. Run besides: answers, calls, key window, spoilt, upgrade, last answers, connections, bundles: 145 passed.

--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -157,6 +157,16 @@
     def bundle(self) -> bool:
         return self.bundled
 
+    def held_back(self) -> bool:
+        self.calls.catch_up(self)
+        if self.calls.hooks.may_write(self.endpoint):
+            return False
+        if self.path:
+            self.calls.probe_ended(self, Result.MOOT)
+        self.abandon()
+        self.finish_all(Outcome(Result.MOOT))
+        return True
+
     def written_whole(self) -> None:
         self.sent = True
         self.calls.hooks.forwarded(len(self.items))
@@ -272,6 +282,7 @@
         self.pools: dict[int, Pool] = {}
         self.out: dict[Call, None] = {}  # in the order in which they began
         self.idle = 0  # connections, of all pools
+        self.caught_up = 0.0  # the loop's time at which all unread answers were last read
         self.opened = self.reused = 0
         self.places: Places | None = None
         self.busy: Counter[int] = Counter()  # calls out by endpoint, where places are shared
@@ -503,13 +514,18 @@
             self._begun(call, connection, True)
 
     def _recorded(self, call: Call, connection: Connection, may: bool) -> None:
-        """Its record is written. Where that, or its connection, took time, answers that stand unread by now
-        are read first: a wait that one of them tells holds for this call too."""
-        if self.loop.time() - call.started > SLOW_S:
+        """Its record is written."""
+        self.catch_up(call)
+        self._begun(call, connection, may)
+
+    def catch_up(self, call: Call) -> None:
+        """Where its connection, its record or its body took time, answers that stand unread by now are read
+        first: a wait that one of them tells holds for this call too. Once in SLOW_S, however many come up."""
+        if self.loop.time() - max(call.started, self.caught_up) > SLOW_S:
+            self.caught_up = self.loop.time()
             for other in list(self.out):
                 if other is not call:
                     other.look()
-        self._begun(call, connection, may)
 
     def _begun(self, call: Call, connection: Connection, may: bool) -> None:
         if call not in self.out:  # given up while its record was written, and its connection with it
--- a/madderbeam/transport/http.py
+++ b/madderbeam/transport/http.py
@@ -27,6 +27,11 @@
 class Exchange:
     """What one request is told of its answer; the methods here ignore all."""
 
+    def held_back(self) -> bool:
+        """There is room for a further part of the request: whether none may be written any more, and the
+        connection is closed. Before its last byte a call can't begin."""
+        return False
+
     def written_whole(self) -> None:
         """The request's last byte has been handed to the system."""
 
@@ -174,7 +179,7 @@
         self.network.on_readable(self.sock, self._readable)
         self._out, self._sent = rest, 0
         if rest:
-            self._write()
+            self._more()
 
     def request(self, method: str, target: str, headers: Headers, body: bytes, exchange: Exchange) -> None:
         """Send one; what comes from clients into its headers was checked to be printable when it came."""
@@ -186,6 +191,11 @@
         self._out, self._sent = "\r\n".join([*lines, "", ""]).encode("latin-1") + body, 0
         self._write()
 
+    def _more(self) -> None:
+        exchange = self.exchange
+        if exchange is None or not exchange.held_back():
+            self._write()
+
     def _write(self) -> None:
         try:
             self._sent += self.sock.send(memoryview(self._out)[self._sent:])
@@ -201,7 +211,7 @@
             if self.answer is not None:
                 self.answer.exchange.written_whole()
         else:
-            self.network.on_writable(self.sock, self._write)
+            self.network.on_writable(self.sock, self._more)
 
     def look(self) -> None:
         """Read what has come by now, if anything has."""
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -37,6 +37,12 @@
     assert select.select([sock], [], [], 5)[0]
 
 
+async def read_on(sock):
+    """What comes next, as the loop turns."""
+    sock.setblocking(False)
+    return await bounded(asyncio.get_running_loop().sock_recv(sock, 1 << 16))
+
+
 def reset(sock):
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     sock.close()
@@ -53,12 +59,16 @@
     def call(self, *ids, rest=b"", timeout_us=10_000_000, write_by=None):
         """One that is out, with so much of its request still to be written: the call and the other end."""
         ours, theirs = pair(self.server)
+        return self.adopt(ours, *ids, rest=rest, timeout_us=timeout_us, write_by=write_by), theirs
+
+    def adopt(self, ours, *ids, rest=b"", timeout_us=10_000_000, write_by=None):
+        """As call, on a connection that is there."""
         items = [[n, 0, i, "", b"", timeout_us, 0, False, True] for n, i in enumerate(ids or ("a",))]
         now = asyncio.get_running_loop().time()
         self.calls.adopt(ours, {"endpoint": 1, "items": items, "started": now, "deadline": now + 10,
                                 "address": ["127.0.0.1", 1], "bundle": len(items), "rest": rest,
                                 "connected": True, "write_by": write_by})
-        return next(reversed(self.calls.out)), theirs
+        return next(reversed(self.calls.out))
 
     def told(self, call, theirs, data):
         """The endpoint sends this, and it is read."""
@@ -194,6 +204,41 @@
     theirs.close()
 
 
+@held
+async def test_what_is_written_in_part_as_a_wait_is_told_goes_no_further(h):
+    # The rest went out as the endpoint read on: the call began amid the wait that another one had told.
+    call, theirs = h.call("a", rest=BIG)
+    other, others = h.call("b")
+    left = len(call.connection.rest)
+    assert 0 < left < len(BIG)  # written in part
+    others.sendall(FULL)
+    arrived(other.connection.sock)
+    h.calls.hooks.told_wait = lambda endpoint, wait_us: setattr(h.o, "allowed", False)
+    other.connection.look()
+    assert h.outcomes == [TOLD]
+    came = 0
+    with pytest.raises(ConnectionResetError):
+        while part := await read_on(theirs):
+            came += len(part)
+    assert h.outcomes == [c.Outcome(Result.MOOT)] and came <= len(BIG) - left
+    theirs.close()
+    others.close()
+
+
+@held
+async def test_a_wait_that_stands_unread_as_there_is_room_for_the_next_part_holds(h):
+    call, theirs = h.call("a", rest=BIG)
+    other, others = h.call("b")
+    await asyncio.sleep(2 * c.SLOW_S)  # the calls have been out for longer
+    others.sendall(FULL)
+    arrived(other.connection.sock)
+    h.calls.hooks.told_wait = lambda endpoint, wait_us: setattr(h.o, "allowed", False)
+    call.connection._more()
+    assert h.outcomes == [TOLD, c.Outcome(Result.MOOT)]
+    theirs.close()
+    others.close()
+
+
 @pytest.mark.parametrize("rest", [b"", BIG])
 def test_a_reset_may_have_run_once_the_last_byte_was_written_and_only_then(rest):
     async def run(h):
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -272,3 +272,28 @@
             o.calls.close()
             thread.join(5)
     asyncio.run(run())
+
+
+def test_many_connections_that_come_up_together_late_read_what_stands_unread_once():
+    # Each looked at all others: a thousand of them held the loop for two seconds.
+    async def run():
+        many, looks, pending, look = 200, [], [], c.Call.look
+        o = Outcomes()
+        with socket.create_server(("127.0.0.1", 0), backlog=many) as server:
+            o.calls.place(1, server.getsockname())
+            connected, o.calls._connected = o.calls._connected, lambda *args: pending.append(args)
+            for n in range(many):
+                o.calls.send(1, [c.Item(n, 0, str(n), "", b"x", 5_000_000)])
+            async with asyncio.timeout(10):
+                while len(pending) < many:
+                    await asyncio.sleep(0.01)
+            await asyncio.sleep(2 * c.SLOW_S)
+            c.Call.look = lambda call: (looks.append(call), look(call))
+            try:
+                for args in pending:
+                    connected(*args)
+            finally:
+                c.Call.look = look
+            assert len(o.begun) == many and len(looks) < 10 * many
+            o.calls.close()
+    asyncio.run(run())
