A call that is over with no answer is reset, so that the system does not send the rest of it

Seen: an endpoint tells something that can't be read, or too much, or ends its sending, while the system still holds most of a request that was handed to it whole. Connection._spoil and _lose and the bound on an answer's size closed the connection plainly: the system sent the rest on as the endpoint read, and the call began there behind its end here, beside its next attempt and perhaps outside its window. Calls that are cancelled or time out were reset already. Now all that ends with no answer is.

Checked: the test reads on at the endpoint and fails without the change in each of three ways (the request came whole, no reset), passes 20 times of 20 with it.

--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -190,7 +190,7 @@
             self.body += data
         elif self.received > MAX_ANSWER and self.connection is not None:
             self.calls.loop.call_soon(self.drop)  # it may say 3 GB and keep coming
-            self.connection.close()
+            self.connection.abort()
 
     def end(self, noise: bool) -> None:
         """Whole and well formed: only now does an answer prove that the call never ran, or that it is over.
--- a/madderbeam/transport/http.py
+++ b/madderbeam/transport/http.py
@@ -261,13 +261,13 @@
 
     def _spoil(self) -> None:
         exchange, written = self.exchange, self.written
-        self.close()
+        self.abort()
         if exchange is not None:
             exchange.spoilt() if written else exchange.lost(False)
 
     def _lose(self) -> None:
         exchange, written = self.exchange, self.written
-        self.close()
+        self.abort()
         if exchange is not None:
             exchange.lost(written)
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -388,6 +388,42 @@
     theirs.close()
 
 
+@pytest.mark.parametrize(("step", "outcome"), [
+    (b"nonsense\r\n\r\n", c.Outcome(Result.ERROR, spoilt=True)),  # can't be read
+    (b"HTTP/1.1 500 x\r\n\r\n" + b"x" * 70_000, c.Outcome(Result.ERROR, spoilt=True)),
+    (b"", RESET),  # its sending ended, and it reads on
+])
+def test_what_is_over_with_no_answer_is_reset_and_not_sent_on(step, outcome):
+    # All of it had been handed to the system, which held most of it back, and sent it on behind a plain close:
+    # the call began as the endpoint read on, beside its next attempt.
+    async def run(h):
+        theirs = socket.socket()
+        theirs.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        theirs.connect(h.server.getsockname())
+        ours, _ = h.server.accept()
+        ours.setblocking(False)
+        ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 400_000)
+        body = b"x" * 100_000
+        call = h.adopt(ours, "a", rest=body)
+        assert call.sent
+        if step:
+            theirs.sendall(step)
+        else:
+            theirs.shutdown(socket.SHUT_WR)
+        while call in h.calls.out:
+            arrived(ours)
+            call.connection.look()
+            await asyncio.sleep(0)
+        assert h.outcomes == [outcome]
+        came = 0
+        with pytest.raises(ConnectionResetError):
+            while part := await read_on(theirs):
+                came += len(part)
+        assert came < len(body)
+        theirs.close()
+    held(run)()
+
+
 # Answers without an end
 
 
