A key that comes twice in one turn is one message, as one that is open already is

Seen: a client that gave a request up and handed its key in again while the courier rested had both read in one turn. Now the older one of the turn is given back ("-BUSY") as the newer one comes.

--- a/madderbeam/host/admission.py
+++ b/madderbeam/host/admission.py
@@ -122,6 +122,9 @@
 
     def _replace(self, m: Held) -> None:
         """A key that is still open here is handed in again only by a client that gave the older one up."""
+        for older, replies in list(self.arrived.values()) if m.key else ():
+            if older.key == m.key:
+                self._give_back(older, replies)
         old = self.journal.held.get(self.journal.open_keys.get(m.key, 0))
         if old is None:
             return
@@ -131,6 +134,14 @@
         self.ends.end(old, "deferred", 0)
         self.cancel(old.number, newest)
 
+    def _give_back(self, m: Held, replies: list[Answer]) -> None:
+        """One that has come in since the last turn is not taken on."""
+        del self.arrived[m.number], self.arriving[m.id]
+        self.tell(i.MessageGone(m.number))
+        self.figures.ended(DECLINED, m.cls)
+        for reply in replies:
+            reply.busy(self.come_back_us())
+
     # The turn's answers
 
     def turn(self) -> dict[int, tuple[Held, list[Answer]]]:
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -394,7 +394,7 @@
     (b"", RESET),  # its sending ended, and it reads on
 ])
 def test_what_is_over_with_no_answer_is_reset_and_not_sent_on(step, outcome):
-    # All of it had been handed to the system, which held most of it back, and sent it on behind a plain close:
+    # All of it had been handed to the system, which held most of it back and sent it on behind a plain close:
     # the call began as the endpoint read on, beside its next attempt.
     async def run(h):
         theirs = socket.socket()
--- a/tests/test_key_window.py
+++ b/tests/test_key_window.py
@@ -165,3 +165,19 @@
         await bounded(until(lambda: not host.journal.held))
         assert endpoint.calls.empty() and fleet.discovery.finals.empty()
     run(tmp_path)
+
+
+@courier
+async def test_a_key_that_comes_twice_in_one_turn_is_one_message(fleet):
+    # A client gave the first one up while the courier rested, and both were read in one turn. The second knew
+    # nothing of the first one's attempts: it was sent for the first time when the key was forgotten.
+    fleet.raw = keyed()
+    endpoint = await fleet.endpoint("e", answer(500, Retry_After=str(WINDOW_S + 0.2)))
+    client = await fleet.inside()
+    client.writer.write(b"".join(client.message(n, kind="keyed", key="k1", life=2000) for n in "ab"))
+    assert (await client.line()).startswith("-BUSY")
+    assert await client.line() == "+OK"
+    assert (await endpoint.call())[1]["x-request-id"] == "b"
+    assert (await fleet.discovery.final())["id"] == "b"
+    await bounded(until(lambda: not fleet.host.journal.held))
+    assert endpoint.calls.empty()
