--- a/madderbeam/host/listing.py
+++ b/madderbeam/host/listing.py
@@ -45,6 +45,7 @@
         self.subscribed: dict[int, tuple[str, ...]] = {}  # topics of the federation that it wants notices of
         self.limits = Limits()  # by what waits go by
         self.waits: dict[tuple[int, int], int] = {}  # told waits, by destination or route: when they end
+        self.left: dict[int, tuple[int, int]] = {}  # endpoints that have gone: whose waits they still tell
         # Whether a destination is served here now, where another courier may serve it.
         self.serves: Callable[[int], bool] | None = None
         # Ids that another courier heard to drain, until this one's list tells of them.
@@ -74,8 +75,7 @@
             self.entries[entry.endpoint] = entry
             self.dests.add(entry.destination)
         for text in strange - self.strange:
-            log.error("discovery: an entry that can't be read; its endpoint stays as it was unless it ends: %s",
-                      text)
+            log.error("discovery: an entry that can't be read, its endpoint stays or ends: %s", text)
         self.puzzled = not strange <= self.strange
         # Those of a whole list are all that there are now.
         self.strange = strange if change.get("all") or len(self.strange) > EVER else self.strange | strange
@@ -171,9 +171,13 @@
 
     def forget(self, endpoint: int) -> None:
         """It has gone."""
-        if entry := self.entries.pop(endpoint, None):
-            self.waits.pop((entry.destination, endpoint), None)
-            self.limits.forget((entry.destination, endpoint))
+        if endpoint in self.entries:
+            self.left[endpoint] = self._wait_key(endpoint)
+            route = (self.entries.pop(endpoint).destination, endpoint)
+            self.waits.pop(route, None)
+            self.limits.forget(route)
+            if len(self.left) > EVER:
+                del self.left[next(iter(self.left))]
         self.told.pop(endpoint, None)
         self.topics.pop(endpoint, None)
         self.subscribed.pop(endpoint, None)
@@ -221,13 +225,17 @@
         One that was told here and ends later holds on."""
         found = [e for e in self.entries.values()
                  if e.destination == dest and uid in ("", self.names[e.endpoint])]
-        for key in {self._wait_key(e.endpoint) for e in found}:
+        return self._closed(found, until)
+
+    def _closed(self, entries: list[i.ListEntry], until: int) -> tuple[i.ListEntry, ...]:
+        """These, under a wait until then at least."""
+        for key in {self._wait_key(e.endpoint) for e in entries}:
             self.waits[key] = max(self.waits.get(key, 0), until)
-        return tuple(replace(e, closed_until_us=self.waits[self._wait_key(e.endpoint)]) for e in found)
+        return tuple(replace(e, closed_until_us=self.waits[self._wait_key(e.endpoint)]) for e in entries)
 
     def _wait_key(self, endpoint: int) -> tuple[int, int]:
         entry = self.entries.get(endpoint)
-        return (-1, endpoint) if entry is None else self._key(entry)
+        return self.left.get(endpoint, (-1, endpoint)) if entry is None else self._key(entry)
 
     def _key(self, entry: i.ListEntry) -> tuple[int, int]:
         """What waits and limits are told of: a destination, or one route of it."""
@@ -239,12 +247,12 @@
         return [(dest, self.names.get(endpoint, ""), until) for (dest, endpoint), until in self.waits.items()
                 if dest >= 0 and until > now]
 
-    def told_wait(self, endpoint: int, wait_us: int) -> None:
-        """An answer told to wait for so long."""
-        if endpoint not in self.entries:
-            return  # it has left the list: the decision module still heeds it for the destination
+    def told_wait(self, endpoint: int, wait_us: int) -> tuple[i.ListEntry, ...]:
+        """An answer told to wait for so long: the entries that are under it. One that has left the list still
+        tells it for its destination."""
         key = self._wait_key(endpoint)
-        self.waits[key] = max(self.waits.get(key, 0), self.clock() + wait_us)
+        under = [e for e in self.entries.values() if self._wait_key(e.endpoint) == key]
+        return self._closed(under, self.clock() + wait_us)
 
     def may_write(self, endpoint: int) -> bool:
         """News that came while a connection was being made holds for the call that waits for it."""
