A message that ended while its Kafka leader was dialled does not go out with its bundle

A trace of the call: its record was written at 6.134 s, when the connection to the node that the list names was up; its partition's leader was another node, and the connection to that one took 0.34 s more. One of the bundle's three messages was given up meanwhile, and the batch, made before, was written whole.

At fault: `KafkaConnection.request` made the batch and wrote it in `produce` with no look at what had become of its messages; `Call._write` and `Attempts.begin` look only before the leader is dialled. Over HTTP the first byte is written at once. Ruled out: the record of the attempt (its `begin` found all three alive), and a second call with the message (there was one).

Change: an exchange tells whether all that it carries is still `wanted`; if not, nothing is written, the others are told as not sent and go again on the same connection. `Attempts.write_s` leaves no time for one that has ended, so that the look behind a slow record has it too.

--- a/madderbeam/host/attempts.py
+++ b/madderbeam/host/attempts.py
@@ -121,9 +121,10 @@
 
     def write_s(self, items: list[Item]) -> float:
         """Seconds left in which the last byte of an attempt that is recorded may be written: one that comes
-        to the endpoint behind the window is a second effect, however early it began."""
-        held = [m for n in items if (m := self.journal.held.get(n.number))]
-        return min((self._key_s(m, m.ran_at) for m in held), default=math.inf)
+        to the endpoint behind the window is a second effect, however early it began. None for one that has
+        ended meanwhile."""
+        held = [self.journal.held.get(n.number) for n in items]
+        return min((self._key_s(m, m.ran_at) if m and not m.status else 0.0 for m in held), default=math.inf)
 
     def ended(self, item: Item, endpoint: int, outcome: Outcome, latency: int) -> None:
         m = self.journal.held.get(item.number)
--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -153,6 +153,11 @@
     def timer(self, delay: float, action: Callable[[], None]) -> None:
         self.timers.append(self.calls.loop.call_later(max(0.0, delay), action))
 
+    @property
+    def wanted(self) -> bool:
+        """A message that has ended, or been given up in this call, must not go out with the others."""
+        return all(not item.ended for item in self.items) and self.calls.hooks.write_s(self.items) > 0
+
     @property
     def bundle(self) -> bool:
         return self.bundled
--- a/madderbeam/transport/http.py
+++ b/madderbeam/transport/http.py
@@ -27,6 +27,11 @@
 class Exchange:
     """What one request is told of its answer; the methods here ignore all."""
 
+    @property
+    def wanted(self) -> bool:
+        """Whether all that it carries may still be written."""
+        return True
+
     def written_whole(self) -> None:
         """The request's last byte has been handed to the system."""
 
--- a/madderbeam/transport/kafka/partner.py
+++ b/madderbeam/transport/kafka/partner.py
@@ -210,6 +210,10 @@
             if not self.may_write(leader):  # it drains, has gone, or was never listed
                 self._unsent()
                 return
+            if not exchange.wanted:  # while the leader was dialled: the others go again, on this connection
+                self.exchange = None
+                self._skip(exchange)
+                return
             self.carrier = link
             link.ask(schemas.PRODUCE, self.versions[schemas.PRODUCE.key], {
                 "transactional_id": None, "acks": -1, "timeout_ms": timeout,
@@ -233,8 +237,12 @@
         round."""
         exchange = self.exchange
         self.close()
+        self._skip(exchange)
+
+    def _skip(self, exchange: Exchange | None) -> None:
+        """Nothing of it was written."""
         if exchange is not None:
-            exchange.head(Fate.MOVED.status, {})
+            exchange.head(Fate.NEVER.status, {})
             exchange.end(False)
 
     def _partition(self, key: bytes | None) -> int:
--- a/tests/simulation/test_mended.py
+++ b/tests/simulation/test_mended.py
@@ -19,6 +19,7 @@
 from madderbeam.simulation.network import Link, SimNetwork
 from madderbeam.simulation.runs import draw, play, staged
 from madderbeam.simulation.script import Fault, Script
+from madderbeam.transport.calls import Call
 from madderbeam.transport.clients import ClientServer, Places
 
 UNSAFE = 2
@@ -117,3 +118,22 @@
 def test_a_key_s_window_outlasts_a_compaction_and_a_restart(seed):
     report = play(draw(seed))
     assert report.violation is None, report.line
+
+
+@pytest.mark.parametrize("mended", [True, False])
+def test_a_message_ends_while_its_bundle_s_leader_is_dialled(monkeypatch, mended):
+    # A Kafka partner is connected and its leader comes up slowly: older messages of the bundle are given
+    # up meanwhile, and must not go out with the newer ones.
+    if not mended:
+        monkeypatch.setattr(Call, "wanted", True)
+    faults = [Fault("down", 100, 2400, 4), Fault("slow_handshakes", 2400, 8000, 4, 0.399)]
+    made = Script(seed=1, couriers=1, dests=5, rate_per_s=0, seconds=2.0, tight=50.0, sidecar=True,
+                  kafka=True)
+    rules = set()
+    for at_ms in range(200, 1000, 200):
+        older = [Fault("hand_in", at_ms, 40, 4, 0)] * 2
+        newer = [Fault("hand_in", 2300, 40, 4, 0)] * 3
+        for seed in (1, 2, 5, 6):
+            report = play(replace(made, seed=seed, faults=(*faults, *older, *newer)))
+            rules.add(report.violation.rule if report.violation else "")
+    assert rules == ({""} if mended else {"", "ends"})
