Simulation plays what the standing test adds: other settings, late connections, stray bytes

New kinds: late_connections (a third, up to 1.5 s), idle_closed, stray_lines (half a line while nobody waits), lost_answers (a reset right behind the answer, or up to 4 s after), slow_clients, hasty_clients, clients_leave, kill_behind_ok, indented_lists, silent_watches (what they miss counts as told 6 s later), dark (discovery down, kills amid it), reload_and_term (SIGHUP and SIGTERM, either first), term_under_load (a message in the instant of the shutdown on each connection that stays open).

--- a/madderbeam/simulation/agent.py
+++ b/madderbeam/simulation/agent.py
@@ -14,6 +14,7 @@
 
 
 BEAT_US = 2_000_000  # an empty line comes so often while nothing changes
+MISSED_US = 6_000_000  # what a silent watch missed counts as told so long after it fell silent
 
 
 class Agent:
@@ -31,6 +32,7 @@
         self.late_us = 0
         self.whole = 0.0  # share of changes that come as the whole list
         self.spoilt = 0.0  # share of lines that can't be read
+        self.indented = False  # a list stands on several lines
         self.repeats = 0.0  # share of lines that come twice
         self.back = 0.0  # share of lines whose version is older than the one before
         self.reset = 0.0  # share of notices' connections that break before the answer
@@ -86,6 +88,18 @@
                 if line.watching:
                     line.push(list(self.targets.values()), True)
 
+    def hush(self) -> None:
+        """The open watches fall silent; what they miss counts as told later, whether or not it came."""
+        watches = [line for line in self.lines.values() if line.watching]
+        for line in watches:
+            line.stream.cut()
+        if watches:
+            self.kernel.after(MISSED_US, self._overdue)
+
+    def _overdue(self) -> None:
+        if not self.silent and not self.spoilt and not any(line.spoilt for line in self.lines.values()):
+            self.wrote(list(self.targets.values()), True)
+
     def known(self) -> dict[str, Any]:
         """The list as the courier last had it."""
         return {"rev": self.told_rev, "all": True, "targets": list(self.told.values())}
@@ -215,7 +229,8 @@
         rev = agent.rev
         if agent.back and agent.chance.random() < agent.back:
             rev = max(1, rev - agent.chance.randrange(1, 4))
-        line = json.dumps({"rev": rev, "all": whole, "targets": entries}).encode() + b"\n"
+        line = json.dumps({"rev": rev, "all": whole, "targets": entries},
+                          indent=1 if agent.indented else None).encode() + b"\n"
         if agent.spoilt and agent.chance.random() < agent.spoilt:
             self.chunk(line[:len(line) // 2] + b"\n")
             self.spoilt = True
--- a/madderbeam/simulation/couriers.py
+++ b/madderbeam/simulation/couriers.py
@@ -178,6 +178,7 @@
         if self.life.closing_us < 0:
             self.kernel.checker.broken("crash", f"{self.name} ended by itself")
         assert self.host is not None
+        self.life.exits = True
         with contextlib.suppress(Killed):
             self.host.close()
         self.die()
--- a/madderbeam/simulation/endpoints.py
+++ b/madderbeam/simulation/endpoints.py
@@ -63,6 +63,11 @@
         self.mute = 0.0  # share of the calls that are answered by a 100 and nothing more
         self.early = 0.0  # share of the calls that are turned away ahead of their last byte
         self.handshake_us = 0  # that a connection takes longer to come up
+        self.late = 0.0  # share of the connections that come up late
+        self.late_us = 0  # by so much at most
+        self.idle_us = 0  # after which a connection that stands idle is closed, 0: never
+        self.stray = 0.0  # share of the answers behind which half a line comes, while nobody waits
+        self.lost = 0.0  # share of the calls whose connection is reset behind the answer, or long after
 
 
 class Endpoint:
@@ -101,6 +106,8 @@
             stream.peer = line  # which hears when the courier gives it up
             return "nothing"
         stream.handshake_us = self.mood.handshake_us
+        if self.mood.late and self.chance.random() < self.mood.late:
+            stream.handshake_us += self.chance.randrange(self.mood.late_us)
         return line
 
     # Outages
@@ -150,6 +157,7 @@
         self.life = endpoint.kernel.life_of(stream.network)
         self.crowded = False
         self.newest: Call | None = None
+        self.strayed = False  # half a line was written that belongs to no answer
         self.hasty = -1  # bytes of its answers with the one that came ahead of the request's last byte
         self.tap = RequestTap(stream, self._written, self._came, self._odd)
 
@@ -276,6 +284,13 @@
         elif mood.reset and chance.random() < mood.reset:
             self._ran(call.items, chance.random() < 0.5)
             self.kernel.after(took, self._drop)
+        elif mood.lost and chance.random() < mood.lost:
+            self._ran(call.items, chance.random() < 0.8)
+            if chance.random() < 0.5:  # long after
+                self.kernel.after(took + chance.randrange(4_000_000), self._drop)
+            else:
+                self._later(call, took, 200, "done", busy=True)
+                self.kernel.after(took, self.stream.abort)
         else:
             if self.partial and len(call.items) > 1 and chance.random() < 0.1:  # a part of it is turned away
                 call.turned_away = {a.handed.id for a in call.items[1:] if chance.random() < 0.5}
@@ -327,6 +342,10 @@
         text = "\r\n".join(head).encode() + b"\r\n\r\n" + body
         self.kernel.note(self.endpoint.uid, "answer", status=status, wait=wait_us,
                         ids=[a.handed.id for a in call.items])
+        if self.strayed:  # it stands behind half a line
+            stream.write(text)
+            self.kernel.checker.answered(call, {})
+            return
         if call.items and mood.mute and chance.random() < mood.mute:
             stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             return
@@ -354,6 +373,22 @@
             self.kernel.checker.told_wait(call, stream.arrival_us, until)
         if close:
             stream.finish()
+        elif mood.stray and not more and chance.random() < mood.stray:
+            self.kernel.after(chance.randrange(600_000), self._stray, self.tap.here)
+        elif mood.idle_us:
+            self.kernel.after(mood.idle_us, self._idle, self.tap.here)
+
+    def _idle(self, here: int) -> None:
+        """Nothing has come since: it closes, whatever is on its way."""
+        if self.tap.here == here:
+            self.stream.finish()
+            self.endpoint.streams.pop(self.stream, None)
+
+    def _stray(self, here: int) -> None:
+        """Half a line, with nothing asked."""
+        if self.tap.here == here and not self.stream.gone:
+            self.strayed = True
+            self.stream.write(self.endpoint.chance.choice((b"H", b"HTTP/1.1 20", b"x" * 40)))
 
     def _with_gaps(self, rows: list[dict[str, str]], outcomes: dict[str, str]) -> dict[str, str]:
         """A bundle's answer that leaves one out, names one twice, or names one that was not in the call; what
--- a/madderbeam/simulation/faults.py
+++ b/madderbeam/simulation/faults.py
@@ -31,6 +31,7 @@
     longest_ms: int
     weight: float  # how often a seed has it; 0: only in scripts that are written
     service: bool = False  # it needs the second address
+    standing: bool = False  # of the standing test: drawn from a chance of its own
 
     def draw(self, chance: random.Random, script: Script) -> Fault:
         last = int(script.seconds * 1000)
@@ -43,9 +44,10 @@
 
 
 def kind(longest_ms: int = 3000, weight: float = 1.0, shortest_ms: int = 100,
-         service: bool = False) -> Callable[[Any], Any]:
+         service: bool = False, standing: bool = False) -> Callable[[Any], Any]:
     def add(begin: Callable[[World, Fault], End]) -> Any:
-        KINDS[begin.__name__] = Kind(begin.__name__, begin, shortest_ms, longest_ms, weight, service)
+        KINDS[begin.__name__] = Kind(begin.__name__, begin, shortest_ms, longest_ms, weight, service,
+                                    standing)
         return begin
     return add
 
@@ -565,3 +567,122 @@
     machine = _machine(world, f)
     world.checker.troubled.add(machine.name)
     return _set(machine.disk.faults, "short", f.value)
+
+
+# What the standing test has beside these
+
+
+@kind(6000, standing=True)
+def late_connections(world: World, f: Fault) -> End:
+    """A third of the connections to endpoints come up late, by up to 1.5 s."""
+    live, most = world.live(), 200_000 + int(1_300_000 * f.value)
+    ends = [_set(ep.mood, "late", 0.33) for ep in live] + [_set(ep.mood, "late_us", most) for ep in live]
+    return lambda: [end() for end in ends]
+
+
+@kind(6000, standing=True)
+def idle_closed(world: World, f: Fault) -> End:
+    """Endpoints close connections that stand idle for up to 400 ms."""
+    ends = [_set(ep.mood, "idle_us", 1 + int(400_000 * f.value ** 2)) for ep in world.live()]
+    return lambda: [end() for end in ends]
+
+
+@kind(6000, standing=True)
+def stray_lines(world: World, f: Fault) -> End:
+    """Half a line comes on connections that stand idle."""
+    ends = [_set(ep.mood, "stray", 0.2 + f.value / 2) for ep in world.live()]
+    return lambda: [end() for end in ends]
+
+
+@kind(6000, standing=True)
+def lost_answers(world: World, f: Fault) -> End:
+    """Connections are reset right behind an answer, or under a request that has long begun."""
+    ends = [_set(ep.mood, "lost", f.value / 2) for ep in world.live()]
+    return lambda: [end() for end in ends]
+
+
+@kind(6000, standing=True)
+def slow_clients(world: World, f: Fault) -> End:
+    """A share of the clients writes slowly."""
+    return _set(world.clients, "slow", f.value)
+
+
+@kind(6000, standing=True)
+def hasty_clients(world: World, f: Fault) -> End:
+    """Clients come again at once."""
+    return _set(world.clients, "hasty", True)
+
+
+@kind(standing=True)
+def clients_leave(world: World, f: Fault) -> End:
+    """The clients of a courier go in a burst, sometimes those that wait for an answer as well."""
+    world.clients.leave(_machine(world, f), f.value < 0.5)
+    return None
+
+
+@kind(weight=2.0, standing=True)
+def kill_behind_ok(world: World, f: Fault) -> End:
+    """SIGKILL right behind the answer that takes a message on."""
+    machine, checker = _machine(world, f), world.checker
+
+    def ambush(name: str) -> bool:
+        m = checker.newest
+        return name == "sent" and m is not None and m.life is machine.life and m.said_us == world.now_us
+    machine.ambush = ambush
+    return None
+
+
+@kind(standing=True)
+def indented_lists(world: World, f: Fault) -> End:
+    """Lists stand on several lines."""
+    return _set(_machine(world, f).agent, "indented", True)
+
+
+@kind(standing=True)
+def silent_watches(world: World, f: Fault) -> End:
+    """The open watches of all couriers fall silent, and stay so."""
+    for machine in world.machines:
+        machine.agent.hush()
+    return None
+
+
+@kind(8000, shortest_ms=2000, standing=True)
+def dark(world: World, f: Fault) -> End:
+    """Discovery is down for all; amid it several couriers are killed in one instant."""
+    for machine in world.machines:
+        machine.agent.quiet(True)
+        if f.value < 0.7:
+            world.after(int(f.for_ms * 500 * f.value), machine.kill)
+    def end() -> None:
+        for machine in world.machines:
+            machine.agent.quiet(False)
+    return end
+
+
+@kind(weight=1.5, standing=True)
+def reload_and_term(world: World, f: Fault) -> End:
+    """SIGHUP and SIGTERM, up to 50 ms apart, either first."""
+    machine = _machine(world, f)
+    first, then = machine.reload, machine.terminate
+    if f.value > 0.7:
+        first, then = then, first
+    first()
+    world.after(int(f.value * 1000) % 10 * 5_000, then)
+    return None
+
+
+@kind(weight=1.5, standing=True)
+def term_under_load(world: World, f: Fault) -> End:
+    """A planned restart; in its instant, and on and on, messages come on each connection that stays open."""
+    machine = _machine(world, f)
+    if machine.life.died_us >= 0 or machine.life.ready_us < 0:
+        return None
+    life = machine.life
+    world.after(int(f.value * 3_000), machine.terminate)
+
+    def more() -> None:
+        if machine.life is life and life.died_us < 0:
+            world.clients.crowd_in(machine, world.meant)
+            world.after(20_000, more)
+    more()
+    return None
--- a/madderbeam/simulation/settings.py
+++ b/madderbeam/simulation/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import Any
 
 from madderbeam.simulation.script import Script
@@ -12,6 +13,28 @@
 
 def settings(script: Script) -> dict[str, Any]:
     """The settings of a run, in the platform's form."""
+    usual = _usual(script)
+    return _others(usual, random.Random(f"customer {script.customer}")) if script.customer else usual
+
+
+def _others(usual: dict[str, Any], chance: random.Random) -> dict[str, Any]:
+    """The settings of another customer: classes with other effects, windows and times, other limits."""
+    for cls in usual["classes"]:
+        cls["idempotency"] = chance.choice(("read_like", "idempotency_key", "non_idempotent"))
+        cls["keyScope"], cls["keyTtlUs"] = "all", chance.choice((1_000_000, 2_500_000, 10_000_000))
+        cls["deadlineUs"] = int(cls["deadlineUs"] * chance.choice((0.4, 0.7, 1.0)))
+        cls["goalTimeUs"] = min(cls["goalTimeUs"], cls["deadlineUs"])
+    usual["familyInfo"]["maxCalls"] = chance.choice((4, 8, 12))
+    limits = usual["policyLimits"]
+    limits["attemptsCap"] = chance.choice((2, 4, 12))
+    limits["connIdleUs"] = chance.choice((1_500_000, 4_000_000, 10_000_000))
+    limits["connectTimeoutUs"] = chance.choice((250_000, 500_000, 1_200_000))
+    limits["maxOpen"] = chance.choice((20, 60))
+    usual["contract"]["keyRestUs"] = chance.choice((100_000, 300_000))
+    return usual
+
+
+def _usual(script: Script) -> dict[str, Any]:
     return {
         "classes": [
             {"name": CLASSES[0], "goalTimeUs": 1_000_000, "deadlineUs": 3_000_000, "idempotency": "read_like",
