--- a/madderbeam/simulation/clients.py
+++ b/madderbeam/simulation/clients.py
@@ -243,6 +243,7 @@
         if text[size:]:
             self.kernel.after(self.clients.habit.randrange(100_000), self._slowly, handed, text[size:])
         else:
+            handed.until_us += self.kernel.now_us - handed.sent_us  # its time counts from its last byte
             self.stream.when_read(self.stream.sent, lambda: self.kernel.checker.read(handed))
 
     # Peer
--- a/tests/simulation/test_standing.py
+++ b/tests/simulation/test_standing.py
@@ -9,7 +9,7 @@
 
 from madderbeam.host.turn import Host
 from madderbeam.simulation.faults import KINDS
-from madderbeam.simulation.runs import draw, play
+from madderbeam.simulation.runs import draw, play, staged
 from madderbeam.simulation.script import Fault, Script
 from madderbeam.transport import clients, discovery
 
@@ -118,6 +118,14 @@
     assert answered_late(slow) > 100 > 20 > answered_late(plain)
 
 
+def test_the_time_of_a_request_that_is_written_slowly_counts_from_its_last_byte():
+    world = staged(replace(DAY, faults=(Fault("slow_clients", 0, 8000, 0, 0.5),)))
+    assert world.play().violation is None
+    later = [m.until_us - wish.until_us for m in world.checker.handed.values()
+             if (wish := world.clients.holders.get(m.id))]
+    assert 0 in later and 50_000 < max(later) < 400_000 and min(later) == 0
+
+
 def test_clients_that_leave_have_given_up():
     plain, left = traced(*(Fault("clients_leave", at, 0, at // 100, 0.2) for at in range(1000, 6000, 100)))
     assert sum("client gives up" in line for line in left) > sum("client gives up" in line for line in plain)
