A request that is written in part goes on when its endpoint drains; a told wait still stops it

Cause: the look before each further part of a request (Call.held_back) asked may_write, which is no for a drain as well. PROTOCOL: for drains a send counts from its first byte; an endpoint that is terminating finishes what it has.

Change: that look asks for told waits alone (Listing.waited); drains count before the first byte, as before. Tests: a new one for the drain; the two for waits tell the wait by its own hook.

--- a/madderbeam/host/assembly.py
+++ b/madderbeam/host/assembly.py
@@ -56,7 +56,7 @@
                              host.figures)
     hooks = Hooks(host.listing.may_write, host.attempts.begin, host.attempts.ended,
                   host.told_wait, host.attempts.probed, host.attempts.late, host.told_load,
-                  host.figures.forwarded, host.attempts.write_s)
+                  host.listing.waited, host.figures.forwarded, host.attempts.write_s)
     host.calls = Calls(loop, network, hooks, s.connection_idle_us, s.connect_timeout_us,
                        int(config.sockets * IDLE_SHARE))
     host.attempts.calls = host.calls
--- a/madderbeam/host/listing.py
+++ b/madderbeam/host/listing.py
@@ -259,4 +259,8 @@
         entry = self.entries.get(endpoint)
         if entry is None or self.shown(entry).state is not READY:
             return False
-        return self.waits.get(self._wait_key(endpoint), 0) <= self.clock()
+        return not self.waited(endpoint)
+
+    def waited(self, endpoint: int) -> bool:
+        """Whether a told wait still runs there."""
+        return self.waits.get(self._wait_key(endpoint), 0) > self.clock()
--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -67,6 +67,7 @@
     # Its attempt had ended by its time-out; now it is known to be over.
     late: Callable[[Item, Outcome], None]
     told_load: Callable[[int, dict[str, float]], None] = lambda endpoint, load: None  # a report came
+    waited: Callable[[int], bool] = lambda endpoint: False  # a told wait runs there
     forwarded: Callable[[int], None] = lambda messages: None  # so many were written whole
     # Seconds from now within which the last byte of these has to be written, 0 or less: they are too late.
     write_s: Callable[[list[Item]], float] = lambda items: math.inf
@@ -179,7 +180,7 @@
 
     def held_back(self) -> bool:
         self.calls.catch_up(self)
-        if self.calls.hooks.may_write(self.endpoint):
+        if not self.calls.hooks.waited(self.endpoint):  # a drain counts from its first byte: it goes on
             return False
         if self.path:
             self.calls.probe_ended(self, Result.MOOT)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -213,7 +213,7 @@
     assert 0 < left < len(BIG)  # written in part
     others.sendall(FULL)
     arrived(other.connection.sock)
-    h.calls.hooks.told_wait = lambda endpoint, wait_us: setattr(h.o, "allowed", False)
+    h.calls.hooks.told_wait = lambda endpoint, wait_us: setattr(h.o, "waited", True)
     other.connection.look()
     assert h.outcomes == [TOLD]
     came = 0
@@ -225,6 +225,19 @@
     others.close()
 
 
+@held
+async def test_what_is_written_in_part_as_a_drain_is_told_goes_on(h):
+    # For drains a send counts from its first byte, and an endpoint finishes what it has.
+    call, theirs = h.call("a", rest=BIG)
+    assert 0 < len(call.connection.rest) < len(BIG)
+    h.o.allowed = False
+    came = 0
+    while came < len(BIG):
+        came += len(await read_on(theirs))
+    assert call.sent and not h.outcomes
+    theirs.close()
+
+
 @held
 async def test_a_wait_that_stands_unread_as_there_is_room_for_the_next_part_holds(h):
     call, theirs = h.call("a", rest=BIG)
@@ -232,7 +245,7 @@
     await asyncio.sleep(2 * c.SLOW_S)  # the calls have been out for longer
     others.sendall(FULL)
     arrived(other.connection.sock)
-    h.calls.hooks.told_wait = lambda endpoint, wait_us: setattr(h.o, "allowed", False)
+    h.calls.hooks.told_wait = lambda endpoint, wait_us: setattr(h.o, "waited", True)
     call.connection._more()
     assert h.outcomes == [TOLD, c.Outcome(Result.MOOT)]
     theirs.close()
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -19,9 +19,10 @@
 
     def __init__(self, **changes):
         self.ended, self.waits, self.probes, self.begun = asyncio.Queue(), [], asyncio.Queue(), []
-        self.allowed = True
+        self.allowed, self.waited = True, False
         hooks = c.Hooks(lambda e: self.allowed, self.begin, self.end, lambda e, w: self.waits.append(w),
-                        lambda e, r, latency: self.probes.put_nowait(r), lambda item, outcome: None)
+                        lambda e, r, latency: self.probes.put_nowait(r), lambda item, outcome: None,
+                        waited=lambda e: self.waited)
         loop = asyncio.get_running_loop()
         given = {"idle_us": 10_000_000, "connect_us": 1_000_000, "max_idle": 20, **changes}
         self.calls = c.Calls(loop, RealNetwork(loop), hooks, **given)
