A courier of few makes a call in 5 s at the least, whatever rate it is told

By reading: a rate of next to nothing in one answer's report would be the pace of a courier in a small fleet, and with no further call no other answer could correct it. A lease is not exceeded; a large fleet is paced from a refusal on only. The same figure that a pace is not cut below has a name now. Test: fails without it (the lane's rate is 1e-9).

--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -14,6 +14,7 @@
 CUT = 0.75  # on overload the rate shrinks by this, once a round trip
 GROW = 0.1  # and a success adds this share of the listed (or first learned) rate
 NEAR, CALM_US = 0.9, 5_000_000  # near the last refused pace it grows slowly, until this long after
+LEAST = 0.2  # calls a second that a courier of few makes at the least: it would never learn of more
 FLOOR = 0.4  # but a listed rate is not left further than this behind
 # Health of an endpoint.
 MEMORY = 0.25  # weight of the newest outcome in the failing share
@@ -269,7 +270,7 @@
             # In a large fleet an equal part of a rate is a call in many seconds, and who needs it is chance:
             # paced only from a refusal on, until no more come and nothing waits.
             if lane.rate:
-                lane.rate = max(lane.rate * CUT, part * FLOOR, 0.0 if self.thin else 0.2)
+                lane.rate = max(lane.rate * CUT, part * FLOOR, 0.0 if self.thin else LEAST)
             elif self.thin:
                 lane.rate = lane.brink = part
                 lane.tokens, lane.stamp = self.random.random(), now
--- a/madderbeam/policy/messages.py
+++ b/madderbeam/policy/messages.py
@@ -13,7 +13,7 @@
 import random
 from collections.abc import Iterable
 
-from madderbeam.policy.health import SPELL_US, Health
+from madderbeam.policy.health import LEAST, SPELL_US, Health
 from madderbeam.policy.interface import (
     Action, AttemptAnswering, AttemptEnded, CloseIdle, Closing, Effect, EndpointsListed, EndpointState, Event,
     Fail, ListEntry, ListForm, Log, MessageArrived, MessageGone, Preference, Refuse, Result, Send, SetTimer,
@@ -127,7 +127,8 @@
                     part = entry.rate_per_s / self.s.couriers
                     if abs(part - ep.lane.listed) > 1e-6 * part:
                         ep.lane.listed = part
-                        ep.lane.rate = ep.lane.brink = 0.0 if self.thin and not entry.lent else part
+                        paced = part if entry.lent else 0.0 if self.thin else max(part, LEAST)
+                        ep.lane.rate = ep.lane.brink = paced
         for ident, ep in list(self.endpoints.items()):
             if e.form is not ListForm.DELTA and ident not in named:
                 ep.state = EndpointState.GONE
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -70,6 +70,13 @@
     assert fleet.host.courier.endpoints[1].lane.listed == 4
 
 
+@courier
+async def test_a_rate_of_next_to_nothing_leaves_calls_that_tell_of_another(fleet):
+    # An answer may be garbled, or tell of a moment: with no further call nothing would correct it.
+    lane = await report_comes(fleet, loaded("1e-9"), raw=unlisted(groupSize=1))
+    assert lane.listed == 1e-9 and lane.rate >= 0.2
+
+
 @courier
 async def test_a_rate_that_was_told_outlasts_changes_of_the_list(fleet):
     lane = await report_comes(fleet, loaded(40))
