A connection that answered what the protocol does not name carries no further call

Seen: an endpoint sends a 408 for want of a request, the next request crosses it and is served all the same. The 408 was taken for its answer and the connection was kept, so that the call's own 200 was read as the answer of the next call: that message was over with no effect and no notice, and the first one went again beside its own copy. The look at a kept connection before its reuse can't see what is still on its way. At fault: Call.end gave the connection back whatever the status was. Now it is reset behind a status that the protocol does not name; the outcome stays "error, may have run".

Checked: the forced test fails without the change (the connection stayed open) and passes 20 times of 20.

--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -23,6 +23,7 @@
 MAX_ANSWER = 64 * 1024  # bytes of its body, as the protocol has it
 SLOW_S = 0.02  # from a call's choice to its first byte; a wait that was told binds 100 ms later
 MAX_WAIT_S = 120.0  # a told wait over this is none that a destination would tell
+ANSWERS = (200, 400, 410, 413, 429, 500, 503, 504)  # that PROTOCOL names
 STATES = {"done": Result.OK, "failed": Result.ERROR, "busy": Result.FULL, "void": Result.MOOT,
           "used_up": Result.MOOT}
 log = logging.getLogger(__name__)
@@ -195,6 +196,8 @@
     def end(self, noise: bool) -> None:
         """Whole and well formed: only now does an answer prove that the call never ran, or that it is over.
         Behind a length that is too short the rest of the answer looks like noise, so with that it is none."""
+        if self.status not in ANSWERS and self.connection is not None:
+            self.connection.abort()  # perhaps an unasked 408: the next call would get the answer of this one
         if self.path:
             self.calls.probe_ended(self, Result.OK if self.status == 200 else Result.FULL)
         elif self.status == 200 and self.bundle:
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -298,6 +298,20 @@
     theirs.close()
 
 
+@held
+async def test_a_408_that_crossed_a_call_is_not_followed_by_the_answer_of_that_call_on_the_next_one(h):
+    # An endpoint sends it unasked, for want of a request, and the request that crossed it is served all the
+    # same. Its 200 was taken for the next message's, which was over with no effect and no notice.
+    call, theirs = h.call()
+    connection = call.connection
+    h.told(call, theirs, answer(408))
+    assert h.outcomes == [c.Outcome(Result.ERROR)]
+    assert connection.closed and not h.calls.idle
+    with pytest.raises(ConnectionResetError):
+        theirs.recv(1)
+    theirs.close()
+
+
 @pytest.mark.parametrize(("step", "outcome"), [(b"", NEVER), (FULL, TOLD)])
 def test_a_new_connection_that_ends_while_the_record_is_written_carries_nothing(step, outcome):
     # An unsafe message was taken for one that may have run. One that is turned away at once says so first.
