An attempt that was never written costs no try, and does not go again in each turn

Seen (by reading, then forced): an attempt that the host holds back ahead of its first byte (no descriptor or port, a told wait or a drain learnt between choice and write, an order that is blocked) ended as MOOT, cost one of three tries, and went again in the next turn: a message was handed back after some 15 ms with no call. At fault: Courier._ended counted m.tries alike for it, with no wait at all.

Change: such attempts are counted apart (Message.unsent); the first goes again at once, the next behind the usual jittered pauses. One that was turned away for want of a slot still counts.

--- a/madderbeam/policy/messages.py
+++ b/madderbeam/policy/messages.py
@@ -186,7 +186,7 @@
     def _spent(self, m: Message) -> bool:
         """Restored with no attempt left: its final answer is due at once."""
         end = m.ran_at + (m.cls.key_window_us if m.cls.effect is Effect.KEYED else 0) - self.margin
-        return m.tries >= self.tries or m.ran_at >= 0 and m.cls.effect is not Effect.SAFE and self.now >= end
+        return m.spent >= self.tries or m.ran_at >= 0 and m.cls.effect is not Effect.SAFE and self.now >= end
 
     def come_back_us(self) -> int:
         """When to come again, for a message that the courier has no room for: spread by chance."""
@@ -199,10 +199,10 @@
         if not pace or not all(lane.rate for lane in dest.lanes):
             return
         ahead = 1 - sum(self.health.fill(lane) for lane in dest.lanes)
-        new = {m: m.ready_at == self.now and not m.tries and not m.restored for m in dest.queue}
+        new = {m: m.ready_at == self.now and not m.spent and not m.restored for m in dest.queue}
         for m in sorted(dest.queue, key=lambda m: (-m.weight * (1 if new[m] else KEPT), m.seq)):
             late = ahead / pace * 1e6 > (PATIENCE if new[m] else 1) * (m.until - self.now)
-            if late and (m.tries or not m.restored):  # what a restart found untried is tried
+            if late and (m.spent or not m.restored):  # what a restart found untried is tried
                 self._finish(m, self.come_back_us())
             else:
                 ahead += 1
@@ -273,21 +273,22 @@
             m.ran_at, m.ran_zone = call.sent_at, ep.zone
         if m.out:
             return
-        # One that was never written goes again at once; one that was turned away for want of a slot has
-        # pushed its destination all the same.
+        # One that was never written loses no try, and goes again at once, then with growing pauses; one that
+        # was turned away for want of a slot has pushed its destination all the same.
         unsent = e.result is Result.MOOT and e.fresh is None
-        wait = 0 if unsent else self.health.backoff(m.tries - 1)
+        m.unsent += unsent
+        wait = 0 if unsent and m.unsent == 1 else self.health.backoff(m.tries - 1)
         again = m.ran_at < 0 or m.cls.effect is not Effect.UNSAFE
         # Overload ends the message, passing on the told wait. But where clients mark what they hand in again
         # and many were refused with nothing coming back, a refusal is a loss: the message waits here instead.
-        stays = self.s.clients_mark_retries and self.unreturned >= DESERTED and m.tries < self.tries
+        stays = self.s.clients_mark_retries and self.unreturned >= DESERTED and m.spent < self.tries
         if e.result is Result.FULL and not stays and not call.crowded:
             self._finish(m, e.retry_after_us)
-        elif m.tries >= self.tries or not again or self.now + wait >= m.until - self.margin:
+        elif m.spent >= self.tries or not again or self.now + wait >= m.until - self.margin:
             self._finish(m, 0)
         else:
             m.ready_at = self.now + wait
-            m.quick = m.tries == 1 and e.latency_us < QUICK_US
+            m.quick = m.spent == 1 and e.latency_us < QUICK_US
             m.dest.queue.append(m)
 
     def avoided(self) -> list[int]:
@@ -334,7 +335,7 @@
     def _make_room(self) -> None:
         """Hand back what waits for one in trouble before it keeps out what could be sent at once."""
         while len(self.messages) > max(1, self.s.max_held - ROOM):
-            queues = ([m for m in d.queue if m.tries or not m.restored] for d in self.dests.values())
+            queues = ([m for m in d.queue if m.spent or not m.restored] for d in self.dests.values())
             if len(spare := max(queues, key=len)) < 2:
                 return
             self._finish(min(spare, key=lambda m: (m.ran_at >= 0, self._value(m, self.now), -m.seq)), 0)
@@ -377,7 +378,7 @@
         if self.closing < math.inf and left < self.health.timeout(ep.lane):  # it might be cut off at the end
             return False
         untried = ep.lane.circuit and ep.c.open and ep.c.tokens < 1.0 and not m.quick
-        if m.closed or m.out or m.tries >= self.tries or left <= 0 or untried:
+        if m.closed or m.out or m.spent >= self.tries or left <= 0 or untried:
             return False
         if now < m.ready_at:
             self._wake(m.ready_at)
--- a/madderbeam/policy/state.py
+++ b/madderbeam/policy/state.py
@@ -14,6 +14,7 @@
         self.until, self.born = event.valid_until_us, event.valid_until_us - cls.deadline_us
         self.dest: Destination
         self.tries, self.out = event.tries, 0
+        self.unsent = 0  # attempts that were held back, and never written
         self.ran_at, self.ran_zone = event.ran_at_us, 0  # when and where the first that may have run was sent
         self.ready_at = now
         self.last: Endpoint | None = None
@@ -22,6 +23,11 @@
         self.closed = self.streaming = self.quick = False
         self.weight = 1.0
 
+    @property
+    def spent(self) -> int:
+        """Attempts that count: what was never written asked nothing of anybody."""
+        return self.tries - self.unsent
+
 
 class Circuit:
     """Whether calls may go, and how many: of an endpoint. In a large fleet of a lane: outages mostly take all
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -300,3 +300,35 @@
     early = of(Send, h.arrive(cls=2) + h.idle(1))
     late = of(Send, h.idle(6))
     assert not [a for a in early if a.message == h.next] and [a for a in late if a.message == h.next]
+
+
+def held_back(h):
+    """An attempt that the host never wrote."""
+    return h.do(AttemptEnded(h.next, h.tries[h.next], 100, Result.MOOT, 1000), after=5000)
+
+
+def test_attempts_that_were_never_written_cost_no_try():
+    # No free descriptor, or a told wait between choice and write: within 15 ms a message had lost its three
+    # tries and was handed back with no call.
+    for result in (Result.OK, Result.ERROR):
+        h = Host()
+        h.arrive()
+        for _ in range(8):
+            acts = held_back(h)
+            while not of(Send, acts):
+                assert not of(Refuse, acts) and not of(Fail, acts)
+                acts = h.do(after=5000)
+        h.end(1, result)  # the first that was written
+        assert (1 in h.courier.messages) is (result is Result.ERROR)  # it has two tries more
+
+
+def test_what_is_held_back_again_and_again_goes_with_growing_pauses():
+    h = Host()
+    acts, sends = h.arrive(), 0
+    while h.now < 1006 * S:
+        for _ in of(Send, acts):
+            sends += 1
+            acts = held_back(h)
+        if not of(Send, acts):
+            acts = h.do(after=5000)
+    assert 4 <= sends <= 30
