SIGHUP with a file that is strange leaves the old discovery in force, and a good one is found

Seen, one file each on SIGHUP: JSON nested 100,000 deep ended the reading by a RecursionError, so that a good file which came later was not looked at; an address with port 0, or by a name that nobody knows, was followed to nowhere in place of the discovery that worked; a name that can't be encoded ("ä..b") raised UnicodeError in Link.open, behind which the watch had no timer and asked nobody any more.

At fault: config/platform.py, _read (ValueError alone) and discovery (parse_address, which takes names and port 0 since it is also for listening). discovery() now asks for an address that can be dialled without a look-up, and nesting counts as no JSON.

--- a/madderbeam/config/platform.py
+++ b/madderbeam/config/platform.py
@@ -226,7 +226,7 @@
 
 def discovery(env: Mapping[str, str], disk: Disk) -> Address:
     """Where discovery is by the file alone: once the file was replaced, the environment is the older word."""
-    return parse_address(_read(env, disk).get("discovery"), "discovery")
+    return dialed_address(_read(env, disk).get("discovery"), "discovery")
 
 
 def _read(env: Mapping[str, str], disk: Disk) -> dict[str, Any]:
@@ -237,7 +237,7 @@
         raw = json.loads(disk.read(path))
     except OSError as error:
         raise ConfigError(f"LB_CONFIG: cannot be read: {error.strerror}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"LB_CONFIG: is not JSON: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError("LB_CONFIG: must hold a JSON object")
--- a/madderbeam/host/listing.py
+++ b/madderbeam/host/listing.py
@@ -72,7 +72,7 @@
             self.entries[entry.endpoint] = entry
             self.dests.add(entry.destination)
         for text in strange - self.strange:
-            log.error("discovery: an entry that can't be read, its endpoint stays as it was, but for a drain: %s", text)
+            log.error("discovery: an entry that can't be read, its endpoint stays or drains: %s", text)
         self.puzzled = not strange <= self.strange
         # Those of a whole list are all that there are now.
         self.strange = strange if change.get("all") or len(self.strange) > EVER else self.strange | strange
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -2,10 +2,15 @@
 
 import asyncio
 import json
+import random
 import signal
 
+import pytest
 from loopback import Discovery, answer, bounded, courier
 
+from madderbeam.host.reload import Reloader
+from madderbeam.ports.real import RealDisk
+
 
 def rewrite(fleet, port):
     path = fleet.folder / "config.json"
@@ -39,6 +44,39 @@
     await new.stop()
 
 
+@pytest.mark.parametrize("strange", [
+    "[" * 100_000, "", "[]", "null", '{"discovery": null}', '{"discovery": 8500}',
+    *(json.dumps({"discovery": text}) for text in (
+        "127.0.0.1", "127.0.0.1:0", "127.0.0.1:\u00b2", "127.0.0.1:" + "9" * 5000, "nowhere.invalid:80",
+        "http://127.0.0.1:80", "\u00e4..b:80"))])
+def test_a_strange_file_leaves_all_as_it_was_and_a_good_one_is_found(strange, tmp_path):
+    # Some ended the reading, so that a good file that came later was not seen; some led the watch nowhere.
+    async def test(fleet):
+        e = await fleet.endpoint("a")
+        client = await fleet.inside()
+        await bounded(fleet.discovery.watches.get())
+        failures, path = [], tmp_path / "config.json"
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: failures.append(context))
+        good, told = path.read_text(), asyncio.Queue()
+        path.write_text(strange)
+        reloader = Reloader(loop, {"LB_CONFIG": str(path)}, RealDisk(), fleet.host.move, random.Random(1),
+                            told.put_nowait)
+        loop.call_soon(reloader.hup)
+        used = await bounded(told.get())
+        assert await client.put("m1") == "+OK"
+        assert (await e.call())[1]["x-request-id"] == "m1"
+        new = await Discovery().start()
+        new.targets = dict(fleet.discovery.targets)
+        path.write_text(good)
+        rewrite(fleet, new.port)
+        assert (await bounded(new.watches.get())).endswith("from=1")
+        reloader.stop()
+        assert not used and told.empty() and not failures and fleet.discovery.watches.empty()
+        await new.stop()
+    courier(test)(tmp_path)
+
+
 @courier
 async def test_notices_unanswered_at_the_old_address_are_sent_to_the_new_one(fleet):
     class Mute(Discovery):
