A list in the configuration that is strange is no reason not to start: it is asked for anew

Seen: `known` as null, a list or a number, its rev as text, null or a fraction, its targets as an object: the process refused to start (ConfigError, exit 2), though the list may be old anyway and discovery has it. With an entry in it that can't be read the process asked discovery for what came after its version, so that this endpoint was not told until it changed: Host.begin did not heed that the list was not whole.

Change: config/platform.py tells the log and goes on with what can be used, from version 0; Host.begin asks for the whole list where an entry of the known one can't be read.

--- a/madderbeam/config/platform.py
+++ b/madderbeam/config/platform.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import json
+import logging
 import secrets
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -19,6 +20,7 @@
     from madderbeam.config.standby import Standby
 
 GUARD_BYTES = 4 * 512  # of a sidecar's folder are for its lock and its owner's name
+log = logging.getLogger(__name__)
 
 
 class ConfigError(Exception):
@@ -112,7 +114,7 @@
         state=state, seed=_seed(raw.get("seed", 0)),
         sockets=int(_number(limits, "sockets", 1024)),
         disk_bytes=int(_number(limits, "disk_mb", 3) * 1_000_000),
-        known=_known(_mapping(raw, "known")), settings=_settings(given),
+        known=_known(raw.get("known", {})), settings=_settings(given),
         zones=tuple(str(z) for z in given.get("localities") or ()),
         control=parse_address(control, "LB_CONTROL") if control else None, listen_fd=_descriptor(env),
         zone=str(raw.get("zone", "")))
@@ -258,10 +260,15 @@
     return value
 
 
-def _known(known: dict[str, Any]) -> dict[str, Any]:
-    rev, targets = known.get("rev", 0), known.get("targets", [])
-    if not isinstance(rev, int) or not isinstance(targets, list):
-        raise ConfigError("known: must hold a whole number rev and a list targets")
+def _known(known: Any) -> dict[str, Any]:
+    """What can be used of the list as it was last known: it may be old, and discovery has it anew."""
+    rev, targets = (known.get("rev", 0), known.get("targets", [])) if isinstance(known, dict) else (0, None)
+    if not isinstance(targets, list):
+        log.error("known: must be an object with a list targets, not %.200r: no endpoint is known yet", known)
+        return {"rev": 0, "targets": []}
+    if not isinstance(rev, int) or rev < 0:
+        log.error("known: rev must be a whole number, not %.200r: the whole list is asked for", rev)
+        rev = 0
     more = {"routing": known["routing"]} if known.get("routing") is not None else {}
     return {"rev": rev, "targets": targets, **more}
 
--- a/madderbeam/host/turn.py
+++ b/madderbeam/host/turn.py
@@ -116,7 +116,9 @@
 
     def begin(self, waits: dict[tuple[int, str], int]) -> None:
         """The list as it was last known, with told waits that still run, and what the journal holds."""
-        self.listed({**self.config.known, "all": True}, i.ListForm.CACHED)
+        whole = self.listed({**self.config.known, "all": True}, i.ListForm.CACHED)
+        if not whole and isinstance(self.watch, Watch):
+            self.watch.rev = 0  # what came since would leave out what can't be read of it
         for dest, uid in waits:
             entries = self.listing.told_again(dest, uid, waits[dest, uid])
             self.list_told(i.ListForm.DELTA, entries)
--- a/tests/test_strange_lists.py
+++ b/tests/test_strange_lists.py
@@ -153,3 +153,22 @@
     for n in range(50):
         listed.read({"targets": [{"uid": f"s{n}", "state": "?"}]})
     assert set(listed.uids) == {"a"} and set(listed.ever) == {"a"} and listed.listed_ever == 1
+
+
+@pytest.mark.parametrize("known", [None, 5, [], {"rev": "x"}, {"rev": None, "targets": []},
+                                   {"rev": 3, "targets": {}}, {"rev": 1.5, "targets": [5]},
+                                   {"rev": 9, "targets": [{"uid": "a"}]}])
+def test_a_strange_list_in_the_configuration_is_asked_for_anew(known, tmp_path):
+    # The process refused to start, or asked for what came after it: the rest of the list was never told.
+    async def test():
+        async with Fleet(tmp_path) as fleet:
+            a = await fleet.endpoint("a")
+            fleet.discovery.whole, whole = lambda: known, fleet.discovery.whole
+            env = fleet.env()
+            fleet.discovery.whole = whole
+            fleet.env = lambda: env
+            client = await fleet.inside()
+            assert (await bounded(fleet.discovery.watches.get())).endswith("from=0")
+            assert await client.put("m1") == "+OK"
+            assert (await a.call())[1]["x-request-id"] == "m1"
+    asyncio.run(bounded(test()))
