A discovery that ends its answer behind each list is asked ever less, up to once in a second

At fault: Watch._change reset the growing waits with each list, so that the wait never grew where every answer brings one and ends.

Change: a word resets them only if it comes later than the longest wait (1 s) behind the call's begin: the first empty line of a watch that stays open does.

--- a/madderbeam/transport/discovery.py
+++ b/madderbeam/transport/discovery.py
@@ -186,6 +186,8 @@
                     return
                 # An empty line or a whole list is a sign of life; a part of one may be the last that comes.
                 word = True
+                if self.loop.time() > self.began + AGAIN_S[1]:  # one that ends behind each list is not well
+                    self.backoff.reset()
                 self._clock(CLOCK_S)
                 self.after(SILENCE_S, self.open)
             if not word:
@@ -210,7 +212,6 @@
         if self.told(change) is False:
             self._anew("")
             return False
-        self.backoff.reset()
         self.rev, self.complaint = rev, ""
         return True
 
--- a/tests/simulation/test_list_clock.py
+++ b/tests/simulation/test_list_clock.py
@@ -1,6 +1,7 @@
 """The list's clock: what discovery has and can be asked for is told 6 s later, whatever failed in between."""
 
 import errno
+import itertools
 import json
 import random
 
@@ -34,6 +35,7 @@
     def __init__(self, scheduler, way=lambda: "well"):
         self.scheduler, self.way, self.rev = scheduler, way, 1
         self.asked, self.froms, self.era, self.beats_late = [], [], 0, 0
+        self.lines = []
         self.next = ""  # the way of the connection that is being made
 
     def begun(self):
@@ -57,6 +59,7 @@
 class Line:
     def __init__(self, discovery, stream, way):
         self.discovery, self.stream, self.way, self.era = discovery, stream, way, discovery.era
+        discovery.lines.append(self)
         self.after = discovery.scheduler.after
         self.tap = RequestTap(stream, lambda request: None, self.came, pytest.fail)
 
@@ -91,8 +94,10 @@
             self.stream.abort()
         elif way not in ("no byte", "late up"):
             self.write(HEAD)
-        if way == "well":
+        if way.startswith("well"):
             self.write(chunk(text + b"\n"))
+        if way == "well, an end":
+            self.write(b"0\r\n\r\n")
         elif way == "unreadable":
             self.write(chunk(b'{"rev":3,"all":]\n'))
         elif way == "no rev":
@@ -222,6 +227,24 @@
     assert 40 <= calls <= (240 if quick else 62)  # two a second at most, and one in 1.9 s
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_discovery_that_ends_its_answer_behind_each_list_is_asked_within_bounds(seed):
+    # Each list made the waits short again: 16 calls a second.
+    play = Play(seed, lambda: "well, an end")
+    play.watch.open()
+    play.until(60 * S)
+    assert 60 <= len(play.discovery.asked) <= 120
+    assert max(b - a for a, b in itertools.pairwise(play.discovery.asked)) < 1.1 * S
+    play.discovery.way = lambda: "well"
+    play.until(70 * S)
+    play.discovery.silence(lambda: "an end")  # one that was well is asked again soon
+    for line in play.discovery.lines:
+        line.stream.finish()
+    asked = len(play.discovery.asked)
+    play.until(70 * S + S // 5)
+    assert len(play.discovery.asked) > asked
+
+
 @pytest.mark.parametrize("late_ms", [0, 300, 600])
 def test_empty_lines_that_are_late_cost_no_call(late_ms):
     play = Play(1)
