At a start the file's discovery address counts first, as it does at SIGHUP

Seen: behind a move by SIGHUP a process that is started again with the environment that it had went back to the old address, since the environment won at a start and the file at SIGHUP. Whatever the old agent tells or does not tell, drains that only the new one has are missed.

Change: config/platform.py takes the file's address, where it has one that can be dialled, and LB_DISCOVERY else; the log tells where they differ.

--- a/madderbeam/config/platform.py
+++ b/madderbeam/config/platform.py
@@ -99,7 +99,7 @@
 
 
 def load(env: Mapping[str, str], disk: Disk) -> Config:
-    """The configuration; the environment wins where both give a value."""
+    """The configuration; the environment wins where both give a value, but for discovery's address."""
     raw = _read(env, disk)
     limits = _mapping(raw, "limits")
     given = _mapping(raw, "settings")
@@ -110,7 +110,7 @@
     return Config(
         name=str(env.get("LB_NAME") or raw.get("name", "")),
         listen=parse_address(env.get("LB_LISTEN") or raw.get("listen"), "LB_LISTEN"),
-        discovery=parse_address(env.get("LB_DISCOVERY") or raw.get("discovery"), "LB_DISCOVERY"),
+        discovery=_first_discovery(env, raw),
         state=state, seed=_seed(raw.get("seed", 0)),
         sockets=int(_number(limits, "sockets", 1024)),
         disk_bytes=int(_number(limits, "disk_mb", 3) * 1_000_000),
@@ -231,6 +231,22 @@
     return dialed_address(_read(env, disk).get("discovery"), "discovery")
 
 
+def _first_discovery(env: Mapping[str, str], raw: dict[str, Any]) -> Address:
+    """Where discovery is at a start. The file counts first, as it does at each SIGHUP: one that was replaced
+    then is newer than the environment of a process that is started again."""
+    given, found = env.get("LB_DISCOVERY"), raw.get("discovery")
+    if not given or found is None:
+        return parse_address(given or found, "LB_DISCOVERY")
+    try:
+        address = dialed_address(found, "discovery")
+    except ConfigError as error:
+        log.error("%s: LB_DISCOVERY counts", error)
+        return parse_address(given, "LB_DISCOVERY")
+    if found != given:
+        log.warning("discovery is at %s by the file, which counts, and at %s by LB_DISCOVERY", found, given)
+    return address
+
+
 def _read(env: Mapping[str, str], disk: Disk) -> dict[str, Any]:
     path = env.get("LB_CONFIG")
     if not path:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -77,6 +77,39 @@
     courier(test)(tmp_path)
 
 
+@courier
+async def test_a_process_that_starts_again_goes_where_sighup_had_moved_discovery(fleet):
+    # Its environment is as it was: the watch went back to the old address, whose list may be old for ever.
+    e = await fleet.endpoint("a")
+    env = fleet.env()
+    new = await Discovery().start()
+    new.target("b", e.port, 8)
+    new.target("z", 9, 99, state="terminating")
+    rewrite(fleet, new.port)
+    fleet.env = lambda: env
+    client = await fleet.outside()
+    await bounded(new.watches.get())
+    assert await client.put("m1", dest=8) == "+OK"
+    assert (await e.call())[1]["x-request-id"] == "m1"
+    assert await client.put("late", life=300, dest=99) == "+OK"
+    assert (await new.final())["id"] == "late"
+    assert fleet.discovery.watches.empty() and fleet.discovery.finals.empty()
+    await new.stop()
+
+
+@pytest.mark.parametrize("value", [None, 5, "nowhere", "127.0.0.1:0"])
+def test_a_file_with_no_address_that_can_be_used_leaves_the_environment_s(value, tmp_path):
+    async def test(fleet):
+        await fleet.endpoint("a")
+        env = fleet.env()
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps({**json.loads(path.read_text()), "discovery": value}))
+        fleet.env = lambda: env
+        await fleet.inside()
+        await bounded(fleet.discovery.watches.get())
+    courier(test)(tmp_path)
+
+
 @courier
 async def test_notices_unanswered_at_the_old_address_are_sent_to_the_new_one(fleet):
     class Mute(Discovery):
