--- a/madderbeam/config/platform.py
+++ b/madderbeam/config/platform.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import json
+import logging
 import secrets
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -19,6 +20,7 @@
     from madderbeam.config.standby import Standby
 
 GUARD_BYTES = 4 * 512  # of a sidecar's folder are for its lock and its owner's name
+log = logging.getLogger(__name__)
 
 
 class ConfigError(Exception):
@@ -97,7 +99,7 @@
 
 
 def load(env: Mapping[str, str], disk: Disk) -> Config:
-    """The configuration; the environment wins where both give a value."""
+    """The configuration; the environment wins where both give a value, but for discovery's address."""
     raw = _read(env, disk)
     limits = _mapping(raw, "limits")
     given = _mapping(raw, "settings")
@@ -108,11 +110,11 @@
     return Config(
         name=str(env.get("LB_NAME") or raw.get("name", "")),
         listen=parse_address(env.get("LB_LISTEN") or raw.get("listen"), "LB_LISTEN"),
-        discovery=parse_address(env.get("LB_DISCOVERY") or raw.get("discovery"), "LB_DISCOVERY"),
+        discovery=_first_discovery(env, raw),
         state=state, seed=_seed(raw.get("seed", 0)),
         sockets=int(_number(limits, "sockets", 1024)),
         disk_bytes=int(_number(limits, "disk_mb", 3) * 1_000_000),
-        known=_known(_mapping(raw, "known")), settings=_settings(given),
+        known=_known(raw.get("known", {})), settings=_settings(given),
         zones=tuple(str(z) for z in given.get("localities") or ()),
         control=parse_address(control, "LB_CONTROL") if control else None, listen_fd=_descriptor(env),
         zone=str(raw.get("zone", "")))
@@ -226,7 +228,23 @@
 
 def discovery(env: Mapping[str, str], disk: Disk) -> Address:
     """Where discovery is by the file alone: once the file was replaced, the environment is the older word."""
-    return parse_address(_read(env, disk).get("discovery"), "discovery")
+    return dialed_address(_read(env, disk).get("discovery"), "discovery")
+
+
+def _first_discovery(env: Mapping[str, str], raw: dict[str, Any]) -> Address:
+    """Where discovery is at a start. The file counts first, as it does at each SIGHUP: one that was replaced
+    then is newer than the environment of a process that is started again."""
+    given, found = env.get("LB_DISCOVERY"), raw.get("discovery")
+    if not given or found is None:
+        return parse_address(given or found, "LB_DISCOVERY")
+    try:
+        address = dialed_address(found, "discovery")
+    except ConfigError as error:
+        log.error("%s: LB_DISCOVERY counts", error)
+        return parse_address(given, "LB_DISCOVERY")
+    if found != given:
+        log.warning("discovery is at %s by the file, which counts, and at %s by LB_DISCOVERY", found, given)
+    return address
 
 
 def _read(env: Mapping[str, str], disk: Disk) -> dict[str, Any]:
@@ -237,7 +255,7 @@
         raw = json.loads(disk.read(path))
     except OSError as error:
         raise ConfigError(f"LB_CONFIG: cannot be read: {error.strerror}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"LB_CONFIG: is not JSON: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError("LB_CONFIG: must hold a JSON object")
@@ -258,10 +276,15 @@
     return value
 
 
-def _known(known: dict[str, Any]) -> dict[str, Any]:
-    rev, targets = known.get("rev", 0), known.get("targets", [])
-    if not isinstance(rev, int) or not isinstance(targets, list):
-        raise ConfigError("known: must hold a whole number rev and a list targets")
+def _known(known: Any) -> dict[str, Any]:
+    """What can be used of the list as it was last known: it may be old, and discovery has it anew."""
+    rev, targets = (known.get("rev", 0), known.get("targets", [])) if isinstance(known, dict) else (0, None)
+    if not isinstance(targets, list):
+        log.error("known: must be an object with a list targets, not %.200r: no endpoint is known yet", known)
+        return {"rev": 0, "targets": []}
+    if not isinstance(rev, int) or rev < 0:
+        log.error("known: rev must be a whole number, not %.200r: the whole list is asked for", rev)
+        rev = 0
     more = {"routing": known["routing"]} if known.get("routing") is not None else {}
     return {"rev": rev, "targets": targets, **more}
 
