A sibling that failed since does not excuse a trial: a large fleet's return is a slow start

At fault: `Health.alone_in_trouble`. A failed connection is no sign of an outage where another endpoint of the lane has answered lately and after this one did; that the other one has failed since was not looked at. So the first failure opened the circuit, and the trials at the siblings, that had last answered before it, counted as an old list. Ruled out: the chance of the trials (the other couriers kept their pace) and the time-outs.

Change: the answer has to be younger than the trouble of the lane as well.

It acts where couriers outnumber slots alone.

--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -165,9 +165,9 @@
         return call.at_once or not self.thin and self.now - ep.last_ok < SPELL_US and not call.alone
 
     def alone_in_trouble(self, ep: Endpoint) -> bool:
-        """Another endpoint of the lane has answered lately, and after this one did."""
+        """Another endpoint of the lane has answered lately, after this one did and since trouble began."""
         others = [x.last_ok for x in ep.lane.endpoints.values() if x is not ep]
-        return max(others, default=0) > max(ep.last_ok, self.now - SIBLING_US)
+        return max(others, default=0) > max(ep.last_ok, self.now - SIBLING_US, ep.lane.failing_from)
 
     def settled(self, lane: Lane, call: Call, latency: int) -> int:
         """A call's latency without what the setting up of its connection took."""
--- a/tests/test_full_tables.py
+++ b/tests/test_full_tables.py
@@ -193,3 +193,30 @@
         for a in of(Send, h.arrive(after=10_000)):
             end(h, a.message, Result.CONNECT_FAILED, 100)
     assert lane.circuit.open
+
+
+def met(answers):
+    """Where calls went of which so many were answered and two failed, and the circuit at the next answer."""
+    h = fleet(endpoints=2, rate=100.0)
+    acts, went = [], []
+    for _ in range(1000):
+        if not (sends := of(Send, acts)):
+            acts = h.arrive(after=10_000)
+            continue
+        result = Result.CONNECT_FAILED if answers <= len(went) < answers + 2 else Result.OK
+        went.append(sends[0].endpoint)
+        acts = end(h, sends[0].message, result, SET_UP)
+        if len(went) == answers + 3:
+            return went, h.courier.endpoints[100].c
+    raise AssertionError("no call")
+
+
+def test_a_trial_that_fails_at_a_sibling_is_no_old_list_while_none_has_answered_since_the_trouble_began():
+    # The one that failed first was the last to answer: the sibling is out as well, the return a slow start.
+    seen = 0
+    for answers in range(2, 60):
+        (*_, last, first, second, _), circuit = met(answers)
+        if last == first != second:
+            seen += 1
+            assert not circuit.open and circuit.ramp_from >= 0
+    assert seen > 3
