A late proof that an attempt never ran leaves its key what other messages with it did

Seen by a probe: a keyed message is given up for a newer one with its key (host/admission.py, _replace) while its bundle is still out, and the newer one runs.

The newer one, untried, also kept the older one's attempt as its own, and a second attempt's equal time was not told from an inherited one.

Checked: through a courier the third message is called after the window without this change, and refused with it. Ruled out: a miss behind a restart (calls do not outlast the process); a call of one message (its connection is given up at the replacement, so no late answer comes).

A miss now concerns the key only if the key counts from that very attempt. Then the key counts from the first attempt of the other messages, or not at all, and so does an open message that had inherited it. Where others came with the key the record tells key and time by itself, since theirs may be compacted away; the room is what was kept for their key. Further attempts count the keys that they may tell again in the room they ask for.

Still careful, not exact: where compaction moved a message's record behind its miss, a restart counts the missed attempt for the key.

--- a/madderbeam/journal/memory.py
+++ b/madderbeam/journal/memory.py
@@ -39,6 +39,10 @@
         """When the time of a known text is up."""
         return self.known[text][1]
 
+    def home(self, text: str) -> int:
+        """The segment that tells a text, 0 if none does."""
+        return self.known[text][2] if text in self.known else 0
+
     def add(self, text: str, at: float, expires: float, home: int = 0) -> None:
         old = self.known.get(text)
         self.known[text] = (at, expires, home)
--- a/madderbeam/journal/message.py
+++ b/madderbeam/journal/message.py
@@ -10,6 +10,7 @@
 
 "take" holds all fields, so that a copy of it at any time tells the whole state: that is what compaction
 writes. "known" holds ids of messages that are over and keys that may have run, which outlast their message.
+A "miss" tells the key's first attempt as well where other messages came with it.
 """
 
 from __future__ import annotations
--- a/madderbeam/journal/store.py
+++ b/madderbeam/journal/store.py
@@ -76,6 +76,9 @@
         self.over = Memory(functools.partial(self._moved, "ids"))
         # Keys, by when the first attempt with one that may have run was sent.
         self.keys = Memory(functools.partial(self._moved, "keys"))
+        # Of keys that further messages came with: the first attempt of each that may have run, 0 if none.
+        # Proofs that an attempt never ran come in its own process alone, so no record tells these.
+        self.further: dict[str, dict[int, float]] = {}
         self.staged: list[Staged] = []
         self.staged_bytes = 0
         self.unwritten: deque[Staged] = deque()
@@ -371,15 +374,34 @@
             if not self._room_again(numbers):
                 (failed or _raise)(JournalFull("no room for another attempt"))
                 return
+        for n in numbers:
+            if (m := self.held.get(n)) and m.key in self.keys:
+                self._further(m, at)
 
         def written() -> None:
             self._effect(record, self.files.newest)
             done()
         self._stage(record, written, failed or _raise)
 
+    def _further(self, m: Held, at: float) -> None:
+        """An attempt of a message whose key may have run, which counts where no other of its own does."""
+        known = self.further.get(m.key, {})
+        if not m.tries or not m.may_have_run_at or m.number in known:
+            self.further.setdefault(m.key, known)[m.number] = known.get(m.number) or at
+
     def missed(self, number: int) -> None:
         """The newest attempt has proved that it never ran."""
-        self._note(["miss", number])
+        record: list[Any] = ["miss", number]
+        if (m := self.held.get(number)) and m.key and m.trying_at:
+            further = self.further.get(m.key, {})
+            if further.get(number) == m.trying_at:
+                further[number] = 0.0
+            # Others came with its key, and the record tells by itself what that comes to now: theirs may go
+            # before it. Room: the key's, kept for one of those as it was taken on, which needs none.
+            others = further or self.open_keys.get(m.key, number) != number
+            if others and self.keys.at(m.key) == m.trying_at:
+                record += [m.key, min(filter(None, further.values()), default=0.0)]
+        self._note(record)
 
     def done(self, number: int) -> None:
         """Delivered, withdrawn, or refused before it was taken on: nothing more is owed."""
@@ -429,10 +451,15 @@
             for key in record[3] if len(record) > 3 else ():
                 self._remember_key(key, record[2], home)
         elif kind == "miss":
+            missed = 0.0
             if found := self.held.get(record[1]):
-                found.trying_at = 0.0
-                if found.key and not found.ran_at:
-                    self.keys.drop(found.key)
+                missed, found.trying_at = found.trying_at, 0.0
+                if found.ran_at == missed:
+                    found.ran_at = 0.0
+            if len(record) > 2:
+                self._first_ran(record[2], record[3], home)
+            elif found and missed and self.keys.at(found.key) == missed:
+                self._first_ran(found.key, 0.0, home)
         elif kind == "final":
             if (found := self.held.get(record[1])) and not found.status:
                 self.end(found, record[2], record[3])
@@ -506,12 +533,25 @@
         if not self.key_ran_at(key):
             self.keys.add(key, at, at + self.key_s, home)
 
+    def _first_ran(self, key: str, at: float, home: int) -> None:
+        """What counted as the first attempt with a key never ran: that of `at` is now, 0 if there is none.
+        Until this is written, the older record tells of the key: it is the more careful."""
+        m = self.held.get(self.open_keys.get(key, 0))
+        if m and m.ran_at and m.ran_at == self.keys.at(key):
+            m.ran_at = at if at != m.trying_at else 0.0
+        if at:
+            self.keys.add(key, at, at + self.key_s, home or self.keys.home(key))
+        else:
+            self.keys.drop(key)
+
     def _expire(self) -> None:
         now = self.wall()
         if now - self.expired_at > EXPIRE_S or self.over.due or self.keys.due:
             self.expired_at = now
             self.over.expire(now, EXPIRE_MOST)
             self.keys.expire(now, EXPIRE_MOST)
+            for key in [key for key in self.further if key not in self.keys]:
+                del self.further[key]
 
     # Where records are
 
@@ -530,6 +570,8 @@
                 self._touch(n, segment)
         elif kind in ("miss", "final"):
             self._touch(record[1], segment)
+            if kind == "miss" and len(record) > 2 and record[3] and self.keys.at(record[2]) == record[3]:
+                self.keys.move(record[2], number)
         elif kind == "over":
             for n in record[1]:
                 self._touch(n, segment)
@@ -591,7 +633,9 @@
         else:
             return True
         used = self.files.used + blocks(self.staged_bytes)
-        return plan.admits(self.limit, used, self.needed, plan.TRY + 9 * len(numbers) + plan.MISS)
+        # Their keys may be told anew by the attempt, and by what it comes to.
+        keys = sum(2 * (len(m.key) + MEMO) for n in numbers if (m := self.held.get(n)) and m.key)
+        return plan.admits(self.limit, used, self.needed, plan.TRY + 9 * len(numbers) + plan.MISS + keys)
 
     def _compact(self) -> None:
         """Look whether a segment is worth rewriting, now and then, and where room is short."""
--- a/tests/journal/test_store.py
+++ b/tests/journal/test_store.py
@@ -354,6 +354,7 @@
     assert len(frame(["try", [number], time])) <= plan.TRY
     assert not key or len(frame(["try", [number], time, [key]])) <= plan.TRY + len(key) + MEMO
     assert len(frame(["miss", number])) <= plan.MISS
+    assert not key or len(frame(["miss", number, key, time])) <= plan.MISS + len(key) + MEMO
     assert len(frame(["final", number, "undeliverable", 1 << 31])) <= plan.FINAL
     name_bytes = Journal._name_bytes(m)
     assert len(frame(["over", [number], time, {ident: time}])) <= plan.OVER + len(ident) + MEMO
--- a/tests/test_key_window.py
+++ b/tests/test_key_window.py
@@ -2,11 +2,12 @@
 out behind that, however slowly its connection, its record or its body was made."""
 
 import asyncio
+import json
 import socket
 import time
 
 import pytest
-from loopback import Client, Server, answer, bounded, courier, read_request, settings
+from loopback import Client, Endpoint, Server, answer, bounded, courier, read_request, settings
 from test_client_ends import Plain
 
 WINDOW_S = 1.0
@@ -184,3 +185,50 @@
     await bounded(until(lambda: not fleet.host.journal.held and not fleet.host.courier.messages))
     assert endpoint.calls.empty() and "m1" not in fleet.host.journal.over
     assert fleet.host.figures.ends == {"succeeded": [0, 2, 0], "declined": [0, 1, 0], "aborted": [0, 0, 0]}
+
+
+class Bundles(Endpoint):
+    """Tells that each message of a bundle is done, but "a", which never ran: that once released."""
+
+    async def serve(self, reader, writer):
+        while True:
+            _, path, headers, body = await read_request(reader)
+            bundle = path.endswith("bundle")
+            ids = [row["id"] for row in json.loads(body)] if bundle else [headers["x-request-id"]]
+            self.calls.put_nowait(ids)
+            if "a" in ids:
+                await self.release.wait()
+            rows = [{"id": ident, "state": "busy" if ident == "a" else "done"} for ident in ids]
+            writer.write(answer(200, json.dumps(rows).encode()))
+
+
+@courier
+async def test_the_window_of_one_that_ran_outlasts_the_proof_that_the_one_before_did_not(fleet):
+    # The proof came late, as the client had given the message up and another one with its key had run: the
+    # key was forgotten, and a third one went out when the second one's window was over.
+    fleet.raw = keyed()
+    endpoint = fleet.endpoints["e"] = await Bundles().start()
+    fleet.discovery.target("e", endpoint.port, 9, "bundles")
+    client, journal = await fleet.inside(), fleet.host.journal
+    assert await client.put("before", dest=9) == "+OK"  # teaches the courier that more than one may be out
+    await endpoint.call()
+    client.writer.write(client.message("other", kind="unsafe", dest=9, life=9000)
+                        + client.message("a", kind="keyed", key="k1", dest=9))
+    assert [await client.line() for _ in range(2)] == ["+OK"] * 2
+    assert "a" in await endpoint.call()
+    fleet.discovery.notice_status = [503] * 1000
+    assert await client.put("b", kind="keyed", key="k1", dest=9) == "+OK"
+    assert await endpoint.call() == ["b"]
+    while "b" not in journal.over:
+        await asyncio.sleep(0.01)
+    ran = journal.wall()
+    endpoint.release.set()
+    while "other" not in journal.over:
+        await asyncio.sleep(0.01)
+    assert "a" in journal.ids  # its notice is owed
+    assert 0 < journal.key_ran_at("k1") <= ran
+    await asyncio.sleep(max(0.0, ran + WINDOW_S - journal.wall()))
+    assert (await client.put("c", kind="keyed", key="k1", dest=9)).startswith("-BUSY")
+    fleet.discovery.notice_status.clear()
+    assert (await fleet.discovery.final())["id"] == "a"
+    assert endpoint.calls.empty()
