An end that the disk does not take is told as the message's time is up, not 0.1 s later

Shrunk and traced: the message waited 129 ms in the accept queue of a process that handed over, so that the courier took its time to end so much later than its client; a disk filled by others took no record of its end; the end was told 120 ms past the courier's time, and a new connection for the notice took 100 ms on that world's grid of 20 ms. 350 ms are allowed, the slack included. Descriptors had no part in it: the shrunk script has none of their faults.

Cause: Ends._unsettled went on until 0.1 s past the message's time (and a step of 50 ms more), where its own words say until the time is up. Nothing is won by that: from then on a restart gives the message up with no call (checked: the decision module refuses one restored 0, 1 us, 1 ms and 50 ms late, in each class), so the same end may be told at once.

Change: the bound is the message's time. Told at most 50 ms past it now, 150 before.

--- a/madderbeam/host/ends.py
+++ b/madderbeam/host/ends.py
@@ -90,7 +90,7 @@
 
     def _unsettled(self, m: Held, status: str, again_ms: int, error: OSError) -> None:
         log.error("journal: %s", error)
-        if self.journal.wall() < m.until + OVERDUE_S:
+        if self.journal.wall() < m.until:
             self.unsettled[m.number] = m
             self.loop.call_later(SETTLE_S, self._settle, m, status, again_ms)
         else:  # until its notice is accepted nothing tells of its end: one behind it in an order waits
--- a/tests/simulation/test_hard_cases.py
+++ b/tests/simulation/test_hard_cases.py
@@ -49,12 +49,19 @@
 
 
 def test_an_end_that_is_not_written_as_its_segment_goes_leaves_no_places_behind():
-    # Seed 207581, shrunk: it broke `books` as of 24a0190. Timers of the world have moved since, and the kill
-    # hits another moment; tests/journal/test_store.py forces this one.
-    report, = played(script("an_end_not_written_outlasts_its_segment"), [207581], trace=False)
+    # Seed 207581 with fewer faults and another chance: the seed itself breaks nothing since timers of the world
+    # have moved. tests/journal/test_store.py forces the moment.
+    report, = played(script("an_end_not_written_outlasts_its_segment"), [266], trace=False)
     assert report.kills == 1
 
 
+def test_an_end_on_a_full_disk_is_told_in_time_where_an_accept_queue_took_some_of_it():
+    # Seed 10418, shrunk: the message waited 129 ms in the queue of a process that handed over, its end was
+    # told 120 ms past the time that the courier knew, and a new connection took 100 ms on a grid of 20.
+    report, = played(script("a_full_disk_as_an_accept_queue_took_time"), [10418])
+    assert times(report, "No space left on device") and report.kills == 1
+
+
 def test_no_two_attempts_overlap_where_everything_falls_on_one_instant():
     # Arrivals, answers, time-outs, retries and deadlines all stand on one coarse grid.
     seen = Counter()
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -6,6 +6,8 @@
 import pytest
 from test_messages import Host, S, of
 
+from madderbeam.host.ends import SETTLE_S, Ends
+from madderbeam.host.figures import Figures
 from madderbeam.journal.clock import BOOT
 from madderbeam.journal.message import Held
 from madderbeam.journal.records import parse
@@ -14,7 +16,7 @@
 from madderbeam.policy.interface import EndpointsListed, EndpointState, ListEntry, ListForm, Result, Send
 from madderbeam.simulation.couriers import SimClock
 from madderbeam.simulation.disk import SimDisk
-from madderbeam.simulation.loop import Scheduler
+from madderbeam.simulation.loop import Scheduler, process_loop
 from madderbeam.transport.descriptors import Sparing
 
 
@@ -88,6 +90,24 @@
     assert len(journal.unwritten) <= 256
 
 
+def test_an_end_that_a_full_disk_does_not_take_is_told_once_the_message_s_time_is_up(disk, clock):
+    # Seed 10418: it was told up to 0.15 s later, half of what is allowed, and its connection took the rest.
+    loop = process_loop(clock.scheduler)
+    journal, told = Journal(disk, clock, "/state", 1_000_000), []
+    ends = Ends(loop, journal, None, lambda event: None, lambda number: None, Figures(()))
+    ends.tellers.append(lambda m, status: told.append((journal.wall(), status)) or True)
+    until = journal.wall() + 1.0
+    m = held(1, until=until)
+    journal.take(m)
+    ends.guard(m)
+    disk.faults.full = True
+    clock.scheduler.run(clock.scheduler.now_us + S // 2)
+    ends.end(m, "deferred", 5)
+    clock.scheduler.run(clock.scheduler.now_us + 2 * S)
+    assert [status for _, status in told] == ["undeliverable"]  # no promise is made that was not recorded
+    assert until <= told[0][0] <= until + SETTLE_S
+
+
 @pytest.mark.parametrize("step_s", [-30, 30])
 def test_time_does_not_step_with_the_wall_clock_nor_over_a_restart(disk, clock, step_s):
     journal = Journal(disk, clock, "/state", 1_000_000, key_window_s=5.0)
