--- a/madderbeam/journal/store.py
+++ b/madderbeam/journal/store.py
@@ -109,13 +109,14 @@
         sound = [p for p in found.parts if p.header and p.name not in damaged]
         self.doubt = sound[-1].doubt if sound else None
         for part in found.parts:
-            segment = self.files.found(part.told, part.size, part.name, part.fixed)
+            told = part.told  # looked up once: it is read from the header
+            segment = self.files.found(told, part.size, part.name, part.fixed)
             segment.gone, segment.damaged = part.name in left, part.name in damaged
             for _, record in part.records:
                 newest = max(newest, self._time(record))
                 oldest = oldest or newest
-                self._effect(record, part.told)
-                self._place(record, part.told)
+                self._effect(record, told)
+                self._place(record, told)
         self.files.used += found.others
         # A damaged file is not written to, nor is one behind which another stands.
         if found.damage and (not found.parts or found.parts[-1].name in damaged
