Test of what was taken on before a crowd of idle clients waits for an endpoint, not for a refusal

tests/test_descriptors.py, test_what_was_taken_on_before_is_tried_and_ended[of-use], failed once under load: its messages went to a port where nobody listened yet, and each refused connection is one of the 12 attempts that the settings allow. Forced: with 2 s more between the messages and the endpoint's start the test failed each time, and its log shows m0 ended "deferred" with all its attempts made, at a courier that did as it should. The port itself could be taken by a client of the crowd meanwhile.

The messages now wait for an endpoint, untried: their destination has only one that leaves, and the other comes by a change amid the crowd, right before discovery is down. A call still needs a descriptor that is opened after the crowd has come, and all six have to come to the same ends.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from loopback import LIMIT, Client, Discovery, Endpoint, Fleet, answer, bounded, read_request
+from loopback import LIMIT, Client, Discovery, Fleet, answer, bounded, read_request
 from madderbeam.ports.real import RealNetwork
 from madderbeam.transport import clients
 
@@ -48,11 +48,13 @@
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self._chunk(writer, json.dumps(self.whole()).encode())
         self.told.set()
+        self.watchers.append(writer)
         await reader.read()
 
     def down(self):
         self.back.clear()
         self.told.clear()
+        self.watchers.clear()
         self.drop()
 
 
@@ -170,20 +172,19 @@
     async def run():
         fleet.limits["sockets"] = told
         async with fleet:
-            fleet.discovery.target("late", unused_port(), 7)
+            fleet.discovery.target("leaving", unused_port(), 7, state="terminating")
             fleet.discovery.target("none", unused_port(), 9)
             client = await fleet.outside(files=real)
-            for n in range(3):
-                assert await client.put(f"m{n}", life=9000) == "+OK"
+            await bounded(fleet.discovery.told.wait())
+            for n in range(3):  # "m" waits for an endpoint: calls that are refused would be counted
+                assert await client.put(f"m{n}", life=60_000) == "+OK"
                 assert await client.put(f"n{n}", dest=9, life=1500) == "+OK"
             async with crowd_at(fleet, first, real):
+                late = await fleet.endpoint("late")
+                fleet.discovery.change("late")
                 fleet.discovery.down()
-                late = await Endpoint().start(int(fleet.discovery.targets["late"]["endpoint"].split(":")[1]))
-                try:
-                    ended = {(await fleet.discovery.final())["id"] for _ in range(3)}
-                    tried = {(await late.call())[1]["x-request-id"] for _ in range(3)}
-                finally:
-                    await late.stop()
+                ended = {(await fleet.discovery.final())["id"] for _ in range(3)}
+                tried = {(await late.call())[1]["x-request-id"] for _ in range(3)}
             assert (ended, tried) == ({"n0", "n1", "n2"}, {"m0", "m1", "m2"})
     asyncio.run(run())
 
