A told outage ends with no older answer, and slow starts from before it begin anew

A destination says 429 with a wait of 4 s to each of two couriers, and at its end gets 51 calls in 2 s where it bears 36.8.

Followed by a probe of `Health.failed`, `succeeded`, `returned` and `trip`. Each courier's calls went to the endpoint of the two at which it had no trial, at its full pace, for one of two reasons: - An error earlier than the refusal had set `lane.failing_from`. The refusal left it there, so that an answer to a call sent between the two, 0.4 s after the refusal, ended the outage (`succeeded`), and nothing was known of one at the return. - `returned` passed over endpoints with a slow start. One that had begun before the outage went on over it and was nearly warm; so did one that a late error of an older call began at the shut endpoint itself.

Change: a refusal that tells an outage sets its begin to its own call; `returned` begins slow starts anew that are over a spell old. Both are changed expressions, in health.py.

Ruled out: the trials' chance (each endpoint's trials kept their gaps) and the paces (both slow starts that were begun kept theirs).

--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -236,16 +236,17 @@
 
     def failed(self, lane: Lane, call: Call, weight: int) -> None:
         """A call failed in a way that an outage would show."""
-        if lane.failing_from < 0:
+        if lane.failing_from < 0 or weight >= OUT:  # told: no answer to an older call is its end
             lane.failing_from = call.sent_at
         lane.failures += weight
 
     def returned(self, lane: Lane) -> None:
-        """Out for over a spell. Mostly that takes all endpoints: those that no call met are cold too."""
+        """Out for over a spell. Mostly that takes all endpoints: those that no call met are cold too, and
+        slow starts from before, or of an error that came late, went on over the outage: they begin anew."""
         lane.back_at = self.now
         self.actions.append(Log(f"destination {lane.dest.number} answers again: slow start"))
         for ep in lane.endpoints.values():
-            if not ep.c.open and ep.c.ramp_from < 0:
+            if not ep.c.open and ep.c.ramp_from < max(0, self.now - SPELL_US):
                 self.chill(ep, self.now)
                 ep.c.tokens = 0.0  # each endpoint's first call adds up
 
--- a/tests/simulation/test_hard_cases.py
+++ b/tests/simulation/test_hard_cases.py
@@ -48,6 +48,12 @@
     assert not times(report, "log journal: compaction rests") and report.kills == 1
 
 
+def test_what_ends_late_does_not_hide_an_outage_that_was_told():
+    # Seed 207798, shrunk: calls from before a destination is shut are answered, or fail, after it.
+    reports = played(script("told_outage_amid_late_ends"), range(24), trace=False)
+    assert sum(r.delivered for r in reports) > 24 * 200
+
+
 def test_no_two_attempts_overlap_where_everything_falls_on_one_instant():
     # Arrivals, answers, time-outs, retries and deadlines all stand on one coarse grid.
     seen = Counter()
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -199,3 +199,46 @@
     drive(h, 3, Result.OK)
     h.do(EndpointsListed(ListForm.DELTA, (ListEntry(200, 1, EndpointState.READY, 20.0),)))
     assert h.courier.endpoints[200].c.ramp_from >= 0
+
+
+def warm(endpoints, calls):
+    """A courier with so many calls out to a destination that had answered all."""
+    h = Host(endpoints=endpoints, rate=20.0, slots=40, cold_share=0.1, cold_us=10 * S, fall_multiple=2.5)
+    h.idle(10)
+    for _ in range(2 * calls):  # the window grows by each
+        (send,) = of(Send, h.arrive(after=100_000))
+        h.end(send.message, Result.OK, 100_000, 100_000, send.endpoint)
+    return h, [send for _ in range(calls) for send in of(Send, h.arrive(after=100_000))]
+
+
+def comes_back(h):
+    """The told wait of 4 s passes, and the first call behind it is answered: the endpoints' circuits."""
+    assert not of(Send, h.idle(3.5))
+    back, *_ = of(Send, h.arrive(after=S))
+    h.end(back.message, Result.OK, 50_000, 0, back.endpoint)
+    return [ep.c for ep in h.courier.endpoints.values()]
+
+
+def test_an_answer_to_a_call_from_before_a_told_outage_does_not_end_it():
+    # An error before it, and a call sent between the two that was answered behind the refusal.
+    h, (error, early, shut) = warm(2, 3)
+    h.end(error.message, Result.ERROR, 300_000, 0, error.endpoint)
+    h.end(shut.message, Result.FULL, 50_000, 10_000, shut.endpoint, told=4 * S)
+    h.end(early.message, Result.OK, 300_000, 0, early.endpoint)
+    circuits = comes_back(h)
+    assert len(circuits) == 2 and all(c.open or c.ramp_from >= 0 for c in circuits)
+
+
+@pytest.mark.parametrize("late_error", [False, True])
+def test_a_slow_start_does_not_go_on_over_an_outage(late_error):
+    # Seed 207798: one was amid a slow start, and at one that was shut an older call failed late.
+    h, (error, shut) = warm(1 if late_error else 2, 2)
+    h.end(shut.message, Result.FULL, 50_000, 10_000, shut.endpoint, told=4 * S)
+    if late_error:
+        h.end(error.message, Result.ERROR, 300_000, 0, error.endpoint)
+    else:
+        h.end(error.message, Result.OK, 300_000, 0, error.endpoint)
+        (other,) = (ep for ep in h.courier.endpoints.values() if ep.id != shut.endpoint)
+        other.c.ramp_from = h.now - S
+    circuits = comes_back(h)
+    assert all(c.open or c.ramp_from > h.now - S for c in circuits)
