--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -52,7 +52,6 @@
     def __init__(self, settings: Settings, chance: random.Random, cap: int) -> None:
         self.s, self.random, self.cap = settings, chance, cap
         self.now, self.start = 0, -1
-        self.restarted = False  # a process before this one may have known of outages
         self.burst = BURST_PRICED_S if settings.refused_price else BURST_S
         # Many small couriers: each meets a destination so rarely that its equal part of anything says little.
         self.thin = settings.couriers > settings.slots
@@ -208,7 +207,7 @@
         if 0 <= lane.failing_from <= call.sent_at:
             # Trouble that was there as this courier began, or first came there, may be older than it knows.
             long = first or lane.failing_from < max(now - SPELL_US, self.start + SPELL_US)
-            if long and lane.failures >= (1 if first and self.restarted else OUT) and not lane.circuit:
+            if long and lane.failures + (first and lane.dest.restored) >= OUT and not lane.circuit:
                 self.returned(lane)
             lane.failing_from, lane.failures = -1, 0
         lane.window = min(self.cap, lane.window + 1)
--- a/madderbeam/policy/messages.py
+++ b/madderbeam/policy/messages.py
@@ -169,7 +169,7 @@
             if (c := lane.circuit) and c.open and self.now >= lane.wait_until:  # a slow start goes by time
                 c.tokens = min(1.0, c.tokens + self.health.warm(c) / len(dest.lanes))
         m.weight = m.cls.worth * e.weight * (1.0 if m.restored else self._share(e.tenant))
-        self.messages[m.id], self.health.restarted = m, self.health.restarted or m.restored
+        self.messages[m.id], dest.restored = m, dest.restored or m.restored
         full = len(self.messages) >= self.s.max_held - 1
         if full != self.crowded and (full or len(self.messages) < self.s.max_held * 0.8):
             self.crowded = full
--- a/madderbeam/policy/state.py
+++ b/madderbeam/policy/state.py
@@ -86,6 +86,7 @@
         self.lanes: list[Lane] = []
         self.queue: list[Message] = []
         self.out = self.arrivals = 0
+        self.restored = False  # the process before had messages for it, and may have known of an outage
 
 
 class Call:
