What the process before tried in vain counts as a sign of an outage, with a first failure

Cause, from its trace: one courier was killed amid an outage and started again 63 ms before its end. It met one failure, at one of three endpoints, which it then left alone; the next answer, at a sibling, ended the trouble, as one failure is none of an outage (`OUT`). The other courier, which had seen all of the outage, kept its slow start (9 calls).

At fault: `Health.succeeded` looks at failures of this process alone.

Change: such attempts count with the failures where no answer came before. They are no trouble by themselves: where the first call is answered nothing changes.

Measured: the unit test and the script's test fail without it.

--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -206,8 +206,9 @@
         lane.fulls, lane.refused = 0, lane.refused * (1 - REFUSED_MEMORY)
         if 0 <= lane.failing_from <= call.sent_at:
             # Trouble that was there as this courier began, or first came there, may be older than it knows.
+            # What the one before tried in vain is a sign of it, where the first call fails as well.
             long = first or lane.failing_from < max(now - SPELL_US, self.start + SPELL_US)
-            if long and lane.failures >= OUT and not lane.circuit:
+            if long and lane.failures + first * lane.dest.tried >= OUT and not lane.circuit:
                 self.returned(lane)
             lane.failing_from, lane.failures = -1, 0
         lane.window = min(self.cap, lane.window + 1)
--- a/madderbeam/policy/messages.py
+++ b/madderbeam/policy/messages.py
@@ -163,6 +163,7 @@
         m = Message(e.message, self.s.classes[e.message_class], e, self.seq, self.now)
         m.dest = dest = self.dests.setdefault(e.destination, Destination(e.destination))
         dest.arrivals += 1
+        dest.tried += m.tries
         # A destination in trouble is tried by a share of what comes anew: summed over a fleet it follows the
         # total, whoever does it. None is saved up: all that were told to wait come back in the same moment.
         for lane in dest.lanes:
--- a/madderbeam/policy/state.py
+++ b/madderbeam/policy/state.py
@@ -85,7 +85,7 @@
         self.number, self.kind = number, 0
         self.lanes: list[Lane] = []
         self.queue: list[Message] = []
-        self.out = self.arrivals = 0
+        self.out = self.arrivals = self.tried = 0  # tried: attempts at what the process before left
 
 
 class Call:
--- a/tests/simulation/test_hard_cases.py
+++ b/tests/simulation/test_hard_cases.py
@@ -54,6 +54,12 @@
     assert sum(r.delivered for r in reports) > 24 * 200
 
 
+def test_a_courier_that_starts_again_shortly_before_an_outage_ends_returns_slowly():
+    # Seed 204028, shrunk: it meets one failure, and has what it tried in vain before.
+    reports = played(script("started_again_as_an_outage_ends"), range(20), trace=False)
+    assert sum(r.kills for r in reports) == 20
+
+
 def test_no_two_attempts_overlap_where_everything_falls_on_one_instant():
     # Arrivals, answers, time-outs, retries and deadlines all stand on one coarse grid.
     seen = Counter()
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -11,7 +11,8 @@
 from madderbeam.journal.records import parse
 from madderbeam.journal.segments import JournalFull
 from madderbeam.journal.store import Journal
-from madderbeam.policy.interface import EndpointsListed, EndpointState, ListEntry, ListForm, Result, Send
+from madderbeam.policy.interface import (
+    EndpointsListed, EndpointState, ListEntry, ListForm, MessageArrived, Result, Send)
 from madderbeam.simulation.couriers import SimClock
 from madderbeam.simulation.disk import SimDisk
 from madderbeam.simulation.loop import Scheduler
@@ -194,6 +195,20 @@
     assert all(ramping) is not before  # with answers before and after it was a spell
 
 
+@pytest.mark.parametrize("tries", [0, 1])
+def test_what_the_process_before_tried_in_vain_is_a_sign_of_an_outage(tries):
+    # Seed 204028: started again 63 ms before an outage's end, it met one failure and went on at full pace.
+    h = Host(endpoints=3, rate=20.0, slots=40, cold_share=0.1, cold_us=10 * S, fall_multiple=2.5)
+    h.next, h.tries[1] = 1, tries - 1  # as the one before numbered its attempts
+    sends = of(Send, h.do(MessageArrived(1, 0, 1, h.now + 5 * S, tries=tries, restored=True)))
+    for result in (Result.ERROR, Result.OK):
+        (send,) = sends
+        h.end(send.message, result, 50_000, 0, send.endpoint)
+        sends = of(Send, h.arrive(after=400_000))[:1] if result is Result.ERROR else []
+    ramping = [ep.c.ramp_from >= 0 for ep in h.courier.endpoints.values()]
+    assert all(ramping) is (tries > 0)  # one failure alone is chance
+
+
 def test_an_endpoint_that_joins_a_cold_destination_starts_slowly_too():
     h = cold(1)
     drive(h, 3, Result.OK)
