--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -206,6 +206,7 @@
         lane.fulls, lane.refused = 0, lane.refused * (1 - REFUSED_MEMORY)
         if 0 <= lane.failing_from <= call.sent_at:
             # Trouble that was there as this courier began, or first came there, may be older than it knows.
+            # A process before this one may have seen the rest of it, where the first call fails as well.
             long = first or lane.failing_from < max(now - SPELL_US, self.start + SPELL_US)
             if long and lane.failures + (first and lane.dest.restored) >= OUT and not lane.circuit:
                 self.returned(lane)
