--- a/tests/simulation/planted.py
+++ b/tests/simulation/planted.py
@@ -251,7 +251,7 @@
     patch.setattr(clients, "WHOLE_S", 1e6)
 
 
-@bug(200, "refusal", "repeat", "ends", "lost")
+@bug(1776, "refusal", "repeat", "ends", "lost")
 def tells_an_end_that_the_disk_did_not_take(patch):
     patch.setattr(Ends, "_unsettled",
                   lambda self, m, status, again_ms, error: self._notify(m))
