--- a/tests/test_full_restart.py
+++ b/tests/test_full_restart.py
@@ -1,9 +1,13 @@
 """A restart with a full journal: ready about as soon as with an empty one, and all notices in time."""
 
+import asyncio
+import json
+import os
+import sys
 import time
 
 import pytest
-from loopback import bounded, courier, settings
+from loopback import ROOT, bounded, courier, settings
 
 from madderbeam.journal.message import Held
 from madderbeam.journal.store import Journal
@@ -72,3 +76,48 @@
         # things beside, one of eight runs took 1.54 s.
         assert many == MOST or time.monotonic() - ready < NOTICES_S
     courier(test)(tmp_path)
+
+
+# Processor seconds of one start by its phases, whatever else the machine does: imports, what is restored from
+# the journal, and the first list with the first turn behind it.
+PHASES = """
+import asyncio, json, os, time
+at = [time.process_time()]
+from madderbeam.host.process import collector_rests
+from madderbeam.config.platform import load
+from madderbeam.host.assembly import assemble
+from madderbeam.ports.real import RealDisk, real_ports
+at.append(time.process_time())
+loop = asyncio.new_event_loop()
+with collector_rests():
+    host = assemble(loop, real_ports(loop), load(os.environ, RealDisk()))
+at.append(time.process_time())
+
+async def listed():
+    host.start()
+    while host.first is not None:
+        await asyncio.sleep(0.01)
+
+loop.run_until_complete(listed())
+at.append(time.process_time())
+print(json.dumps([b - a for a, b in zip(at, at[1:])]), len(host.journal.held))
+host.close()
+"""
+
+
+@pytest.mark.parametrize("size, restore, first", [(30, 2.0, 2.0), (300, 1.0, 1.0)])
+def test_each_phase_of_a_start_with_a_full_journal_is_bounded_by_the_imports(tmp_path, size, restore, first):
+    async def test(fleet):
+        fleet.raw = settings(policyLimits__maxOpen=MOST)
+        count = fill(fleet, size, left_s=60)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", PHASES, env={**os.environ, **fleet.env()}, cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE)
+        out, _ = await asyncio.wait_for(process.communicate(), 30.0)
+        phases, held = out.decode().rsplit(" ", 1)
+        imports, restored, listed = json.loads(phases)
+        print(f"{count} messages: imports {imports:.3f} s, {restored / imports:.2f}, {listed / imports:.2f}")
+        assert int(held) == count
+        assert restored < restore * imports
+        assert listed < first * imports
+    courier(test)(tmp_path)
