Gone endpoints are forgotten with their last call; the world's addresses are addresses

Causes: (1) Listing.left kept each gone endpoint, up to 4,096: it goes once the longest message's time is over now, no call there can be out any more. (2) The simulation named its endpoints 10.1.0.256 and up from the 256th on, which is no address; the courier rightly reads none since names are not looked up.

Tests that were wrong, each replaced by one as strict or stricter: - test_long_service: open keys were judged by the most in a quarter, 17 against 8 where few are open (2 to 17 by chance of the troubles; as found 1 to 13). At each look they have to be exactly those of the open messages now. - test_courier, news for calls decided before it: a call that was held back three times ended its message, which was the fault mended (an attempt never written costs no try); its own short time ends it now.

--- a/madderbeam/host/listing.py
+++ b/madderbeam/host/listing.py
@@ -45,7 +45,9 @@
         self.subscribed: dict[int, tuple[str, ...]] = {}  # topics of the federation that it wants notices of
         self.limits = Limits()  # by what waits go by
         self.waits: dict[tuple[int, int], int] = {}  # told waits, by destination or route: when they end
-        self.left: dict[int, tuple[int, int]] = {}  # endpoints that have gone: whose waits they still tell
+        # Endpoints that have gone: whose waits they still tell, and until when a call there may be out.
+        self.left: dict[int, tuple[tuple[int, int], int]] = {}
+        self.longest_us = max(c.deadline_us for c in settings.classes)
         # Whether a destination is served here now, where another courier may serve it.
         self.serves: Callable[[int], bool] | None = None
         # Ids that another courier heard to drain, until this one's list tells of them.
@@ -172,11 +174,11 @@
     def forget(self, endpoint: int) -> None:
         """It has gone."""
         if endpoint in self.entries:
-            self.left[endpoint] = self._wait_key(endpoint)
+            self.left[endpoint] = (self._wait_key(endpoint), self.clock() + self.longest_us)
             route = (self.entries.pop(endpoint).destination, endpoint)
             self.waits.pop(route, None)
             self.limits.forget(route)
-            if len(self.left) > EVER:
+            while next(iter(self.left.values()))[1] <= self.clock():
                 del self.left[next(iter(self.left))]
         self.told.pop(endpoint, None)
         self.topics.pop(endpoint, None)
@@ -235,7 +237,7 @@
 
     def _wait_key(self, endpoint: int) -> tuple[int, int]:
         entry = self.entries.get(endpoint)
-        return self.left.get(endpoint, (-1, endpoint)) if entry is None else self._key(entry)
+        return self.left.get(endpoint, ((-1, endpoint), 0))[0] if entry is None else self._key(entry)
 
     def _key(self, entry: i.ListEntry) -> tuple[int, int]:
         """What waits and limits are told of: a destination, or one route of it."""
--- a/madderbeam/simulation/world.py
+++ b/madderbeam/simulation/world.py
@@ -74,7 +74,7 @@
     def _endpoint(self, dest: Destination, address: Address | None = None) -> Endpoint:
         number = len(self.endpoints) + 1
         make = Node if self.script.kafka and dest.number % 2 else Endpoint
-        ep = make(self, f"s-{number:04x}", dest, address or (f"10.1.0.{number}", 6379),
+        ep = make(self, f"s-{number:04x}", dest, address or (f"10.1.{number >> 8}.{number & 255}", 6379),
                   5 if dest.kind == "venue-chains" else 1)
         self.endpoints.append(ep)
         dest.endpoints.append(ep)
--- a/tests/simulation/test_long_service.py
+++ b/tests/simulation/test_long_service.py
@@ -25,6 +25,8 @@
             "bad_clients", "crowd", "programs", "torn_connections", "closing", "lowered", "repeated_lists",
             "whole_lists", "flood", "moved", "moves", "shut", "gaps", "notices_torn")
 BOUNDED = {"host.listing.ever": EVER}  # grows up to that many
+# Held against what is open at each look, which is stricter than by size: that is chance, as troubles are.
+EXACT = "host.journal.open_keys"
 SLACK = 6  # elements; and a fifth
 
 
@@ -44,6 +46,8 @@
     def look():
         part = looks[min(3, int(world.now_us / quarter))]
         for machine in world.machines:
+            journal = machine.host.journal
+            assert set(journal.open_keys) == {m.key for m in journal.held.values() if m.key and not m.status}
             for path, size in books.kept(machine.host).items():
                 part[path] = max(part.get(path, 0), size)
         world.after(10_000_000, look)
@@ -53,7 +57,7 @@
     found = {}
     for path, last in looks[3].items():
         second = looks[1].get(path, 0)
-        if last > 1.2 * second + SLACK and last > BOUNDED.get(path, 0):
+        if last > 1.2 * second + SLACK and last > BOUNDED.get(path, 0) and path != EXACT:
             found[path] = (second, last)
     return found, report
 
--- a/tests/simulation/test_mutation.py
+++ b/tests/simulation/test_mutation.py
@@ -61,13 +61,13 @@
 
 def test_a_mutant_that_nothing_can_tell_is_not_found():
     # Whether a wait ends at its last microsecond or behind it.
-    same = one("host/listing.py", "Listing.may_write", "compare", "<=")
+    same = one("host/listing.py", "Listing.waited", "compare", ">")
     assert apart(same, days(range(4))).verdict == "no difference"
 
 
 def test_a_mutant_has_the_same_verdict_in_any_order_and_on_any_number_of_workers():
     wanted = [one("host/ends.py", "Ends.notify", "left out", "self.notices.add"),
-              one("host/listing.py", "Listing.may_write", "compare", "<="),
+              one("host/listing.py", "Listing.waited", "compare", ">"),
               one("host/ends.py", "Ends.unguard", "left out", "guard.cancel")]
     alone = [(v.mutant.id, v.verdict, v.seed, v.detail) for v in mutation.score(wanted, 1, reach=4)]
     many = [(v.mutant.id, v.verdict, v.seed, v.detail) for v in mutation.score(wanted[::-1], 3, reach=4)]
@@ -76,7 +76,7 @@
 
 def test_a_mutant_is_played_on_days_that_reach_its_statement_the_cheapest_first():
     cheap, dear = (mutation.Day(draw(n), None, (), steps) for n, steps in ((1, 5), (2, 9)))
-    m = one("host/listing.py", "Listing.may_write", "compare", "<=")
+    m = one("host/listing.py", "Listing.waited", "compare", ">")
     chosen = mutation.Chosen([(frozenset({(m.path, m.line)}), dear), (frozenset({(m.path, m.line)}), cheap),
                               (frozenset({(m.path, 1)}), mutation.Day(draw(3), None, (), 1))])
     assert chosen(m) == (cheap, dear)
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -304,7 +304,8 @@
             else:
                 entries = host.listing.entries
                 entries[number] = replace(entries[number], state=EndpointState.DRAINING)
-            assert await client.put("m", kind="unsafe") == "+OK"
+            # Attempts that are held back cost no try: its time ends it, ahead of the list's being told anew.
+            assert await client.put("m", kind="unsafe", life=1500) == "+OK"
             assert (await fleet.discovery.final())["status"] == "deferred"  # it never ran
             assert e.calls.empty()
     asyncio.run(run())
