Test of killed members notes what was on its way as the flood ended

Seen: a whole run failed once in tests/federation/test_many_couriers.py: macon/m4 called with a message "which nobody handed in". Cause by reading: Traffic.cancel cancelled its clients as they waited for an answer; a message that was written was taken on and called, and never noted, since the note is made behind +OK. Now each client ends behind the answer it waits for.

--- a/tests/federation/traffic.py
+++ b/tests/federation/traffic.py
@@ -30,10 +30,10 @@
         await asyncio.wait_for(asyncio.gather(*self.tasks), ANSWERED_S)
 
     async def cancel(self):
-        """Its members are about to die: nothing more is handed in, and no answer is waited for."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        """Its members are about to die: nothing more is handed in. What is on its way gets its answer first:
+        taken on and not noted it would count as handed in by nobody. Of one that is dead none comes."""
+        self.ended = True
+        await asyncio.wait_for(asyncio.gather(*self.tasks, return_exceptions=True), ANSWERED_S)
         self.tasks = []
 
     async def until_taken(self, count, limit):
