--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -23,6 +23,7 @@
 MAX_ANSWER = 64 * 1024  # bytes of its body, as the protocol has it
 SLOW_S = 0.02  # from a call's choice to its first byte; a wait that was told binds 100 ms later
 MAX_WAIT_S = 120.0  # a told wait over this is none that a destination would tell
+ANSWERS = (200, 400, 410, 413, 429, 500, 503, 504)  # that PROTOCOL names
 STATES = {"done": Result.OK, "failed": Result.ERROR, "busy": Result.FULL, "void": Result.MOOT,
           "used_up": Result.MOOT}
 log = logging.getLogger(__name__)
@@ -67,6 +68,7 @@
     # Its attempt had ended by its time-out; now it is known to be over.
     late: Callable[[Item, Outcome], None]
     told_load: Callable[[int, dict[str, float]], None] = lambda endpoint, load: None  # a report came
+    waited: Callable[[int], bool] = lambda endpoint: False  # a told wait runs there
     forwarded: Callable[[int], None] = lambda messages: None  # so many were written whole
     # Seconds from now within which the last byte of these has to be written, 0 or less: they are too late.
     write_s: Callable[[list[Item]], float] = lambda items: math.inf
@@ -168,13 +170,18 @@
     def timer(self, delay: float, action: Callable[[], None]) -> None:
         self.timers.append(self.calls.loop.call_later(max(0.0, delay), action))
 
+    @property
+    def wanted(self) -> bool:
+        """A message that has ended, or been given up in this call, must not go out with the others."""
+        return all(not item.ended for item in self.items) and self.calls.hooks.write_s(self.items) > 0
+
     @property
     def bundle(self) -> bool:
         return self.bundled
 
     def held_back(self) -> bool:
         self.calls.catch_up(self)
-        if self.calls.hooks.may_write(self.endpoint):
+        if not self.calls.hooks.waited(self.endpoint):  # a drain counts from its first byte: it goes on
             return False
         if self.path:
             self.calls.probe_ended(self, Result.MOOT)
@@ -212,6 +219,8 @@
     def end(self, noise: bool) -> None:
         """Whole and well formed: only now does an answer prove that the call never ran, or that it is over.
         Behind a length that is too short the rest of the answer looks like noise, so with that it is none."""
+        if self.status not in ANSWERS and self.connection is not None:
+            self.connection.abort()  # perhaps an unasked 408: the next call would get the answer of this one
         if self.path:
             self.calls.probe_ended(self, Result.OK if self.status == 200 else Result.FULL)
         elif self.status == 200 and self.bundle:
--- a/madderbeam/transport/http.py
+++ b/madderbeam/transport/http.py
@@ -32,6 +32,11 @@
         connection is closed. Before its last byte a call can't begin."""
         return False
 
+    @property
+    def wanted(self) -> bool:
+        """Whether all that it carries may still be written."""
+        return True
+
     def written_whole(self) -> None:
         """The request's last byte has been handed to the system."""
 
