--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -8,7 +8,7 @@
 from madderbeam.policy.interface import Action, EndpointState, Log, Result, Settings
 from madderbeam.policy.state import Call, Circuit, Endpoint, Lane
 
-REFUSED_MEMORY, KIND_MEMORY = 0.5, 1 / 16  # weight of the newest call in the share refused: lane, kind
+REFUSED_MEMORY = 0.5  # weight of the newest call in the share refused
 # Pacing of a lane.
 BURST_S, BURST_PRICED_S = 0.8, 0.4  # a bucket holds this much of its rate; less where refusals are priced
 CUT = 0.75  # on overload the rate shrinks by this, once a round trip
@@ -58,7 +58,6 @@
         self.keep = settings.connection_idle_us  # idle connections are used up to this age
         self.roomy = [0 if self.thin else ROOMY] * len(settings.kinds)  # new connections taken, by kind
         self.quickest = math.inf  # answer on a new connection that was good
-        self.refused = [0.0] * len(settings.kinds)  # as the lanes', over all calls to a kind
         self.reaped = 0  # calls lost on idle connections
         self.hold = 1e5  # as the lanes', over all calls
         self.loss = LOSS  # share of calls that are never answered though others are
@@ -106,7 +105,6 @@
             return  # that connection had died; the endpoint answers on others
         if result is Result.FULL:
             lane.refused += (1 - lane.refused) * REFUSED_MEMORY
-            self.refused[lane.dest.kind] += (1 - self.refused[lane.dest.kind]) * KIND_MEMORY
             self.overloaded(lane, told)
             if told > SHUT_US:
                 self.failed(lane, call, OUT)
@@ -211,7 +209,6 @@
             if long and lane.failures >= OUT and not lane.circuit:
                 self.returned(lane)
             lane.failing_from, lane.failures = -1, 0
-        self.refused[lane.dest.kind] *= 1 - KIND_MEMORY
         lane.window = min(self.cap, lane.window + 1)
         if lane.rate:
             top = lane.listed * (1 if lane.lent else self.s.couriers) or math.inf
@@ -219,7 +216,7 @@
             # one pace met a refusal in ten calls.
             near = lane.rate >= NEAR * lane.brink
             step = GROW * min(1.0, max(0.1, (now - lane.cut_at) / CALM_US)) if near else GROW
-            lane.rate = min(top, lane.rate + step * (lane.listed or lane.rate))
+            lane.rate = min(top, lane.rate + step * (lane.listed or max(lane.rate, self.own(lane))))
             if self.thin and not lane.lent and not lane.dest.queue and now - lane.cut_at > CALM_US:
                 lane.rate = 0.0
         if ep.c.open and (call.sent_at >= ep.c.opened_at or lane.circuit):  # else sent before it was shut
@@ -264,7 +261,7 @@
 
     def overloaded(self, lane: Lane, told: int) -> None:
         """A refusal as full: pace down, close the window, and wait as told (or a jittered wait)."""
-        now = self.now
+        now, part = self.now, lane.listed or self.own(lane)
         if now >= lane.cut_at:
             lane.cut_at = now + max(int(lane.mean), 2 * self.s.tick_us)
             lane.window = max(1.0, lane.window / 2)
@@ -272,12 +269,12 @@
             # In a large fleet an equal part of a rate is a call in many seconds, and who needs it is chance:
             # paced only from a refusal on, until no more come and nothing waits.
             if lane.rate:
-                lane.rate = max(lane.rate * CUT, lane.listed * FLOOR, 0.0 if self.thin else 0.2)
+                lane.rate = max(lane.rate * CUT, part * FLOOR, 0.0 if self.thin else 0.2)
             elif self.thin:
-                lane.rate = lane.brink = lane.listed
+                lane.rate = lane.brink = part
                 lane.tokens, lane.stamp = self.random.random(), now
             else:
-                lane.rate = max(0.5, lane.seen * CUT)
+                lane.rate = max(0.5, lane.seen * CUT, part * FLOOR)
             lane.fulls += 1
         lane.wait_until = max(lane.wait_until, now + (told or self.backoff(lane.fulls)))
         self.fill(lane)
@@ -288,9 +285,13 @@
 
     def base(self, ep: Endpoint) -> None:
         """Its part of the rate. Unlisted: its own traffic, whose sum is all, or its part of one's alone."""
-        own = ep.lane.dest.arrivals / max(self.now - self.start, self.s.cold_us, 1) * 1e6
+        own = self.own(ep.lane)
         ep.c.base = ep.lane.listed or max(ep.c.base, own, max(ep.lane.seen * SPARE, 0.5) * self.share)
 
+    def own(self, lane: Lane) -> float:
+        """Messages a second that came for it."""
+        return lane.dest.arrivals / max(self.now - self.start, self.s.cold_us, 1) * 1e6
+
     def crowded(self, rate: float) -> bool:
         """Whether two calls of each courier, if over four, push over one of that rate as it returns."""
         n = self.s.fall_multiple * self.s.cold_share * rate * self.s.rates_listed * self.s.fall_us / 1e6
