--- a/tests/standby/test_moves.py
+++ b/tests/standby/test_moves.py
@@ -89,6 +89,7 @@
     async def inner(p):
         await p.b.standing(largest=30_000)
         await p.a.start()
+        await p.a.until_status(lambda told: told["state"] == "in step")  # until then it says -BUSY
         client, answers = await p.a.client(), []
         for n in range(200):
             answers.append(await client.put(f"m{2 * n}", body=b"x" * 1000))
