Answers ahead of their request, interim ones and several told waits are read with care

Found by reading, then forced; each test fails without its line.

- A 200 that stood on a new connection ahead of the request counted as the answer to it: the message was over with no effect and no notice.
Only kept connections were looked at (Calls._begun).
What came before the request is now early, as what comes before its last byte is.
- A 1xx answer began the half second in which an answer has to be whole (Answer.feed): a destination that said 102 and worked on was given up, and its call may have run.
It begins with the answer itself now, also where the 1xx comes in pieces; an upgrade may pass such a call on.
- Of several Retry-After headers the last one counted; the longest binds now.
Headers that come twice are joined by a comma.

--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import contextlib
 import functools
 import json
 import logging
@@ -112,11 +113,13 @@
 
 
 def told_wait(headers: dict[str, str]) -> int:
-    try:
-        seconds = float(headers.get("retry-after", "0"))
-    except ValueError:
-        return 0
-    return int(seconds * 1e6) if 0 < seconds <= MAX_WAIT_S else 0  # nor for nan
+    """Microseconds, 0 if none was told; of several the longest binds."""
+    longest = 0.0
+    for text in headers.get("retry-after", "").split(","):
+        with contextlib.suppress(ValueError):
+            seconds = float(text)
+            longest = max(longest, seconds if 0 < seconds <= MAX_WAIT_S else 0.0)  # nor for nan
+    return int(longest * 1e6)
 
 
 def told_load(headers: dict[str, str]) -> dict[str, float]:
@@ -577,7 +580,8 @@
             self._keep(call.endpoint, connection)
             return
         fresh = all(item.fresh for item in items)  # such a one may be turned away before it is asked
-        if connection.ended() if fresh else connection.stale():  # what is not written has never run
+        connection.unasked = connection.stale()
+        if connection.unasked and (not fresh or connection.ended()):  # what is not written has never run
             connection.close()
             self._unsent(call, Result.CONNECT_FAILED if fresh else Result.MOOT)
             return
--- a/madderbeam/transport/http.py
+++ b/madderbeam/transport/http.py
@@ -41,7 +41,7 @@
         """The request's last byte has been handed to the system."""
 
     def begun(self) -> None:
-        """A first part of the answer has come, not all of it."""
+        """A first part of the answer has come, not all of it, and not of a 1xx one ahead of it."""
 
     def first_line(self, status: int) -> None:
         """The status line has come whole, of the answer itself and not of a 1xx one ahead of it."""
@@ -70,7 +70,7 @@
         self.exchange, self.parser = exchange, httptools.HttpResponseParser(self)
         self.headers: dict[str, str] = {}
         self.interim = self.status = 0
-        self.begun = self.headed = self.whole = self.again = False
+        self.part = self.begun = self.headed = self.whole = self.again = False
         self.early = False  # it began before its request was written whole: it tells of no run
         self.more = self.copied = False  # something follows; and it is an answer too
         self.head_bytes = 0
@@ -84,7 +84,7 @@
         return "content-length" in self.headers or "transfer-encoding" in self.headers
 
     def on_message_begin(self) -> None:
-        self.more = self.whole
+        self.part, self.more = True, self.whole
         if not self.more:
             self.headers = {}
 
@@ -93,7 +93,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.more and not self.headed:  # what trails the body says nothing of the outcome
-            self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+            key, text = name.decode("latin-1").lower(), value.decode("latin-1")
+            self.headers[key] = f"{self.headers[key]}, {text}" if key in self.headers else text
 
     def on_headers_complete(self) -> None:
         if self.more or self.parser.get_status_code() < 200:
@@ -109,7 +110,7 @@
         if self.more:
             return
         if not self.headed:
-            self.interim += 1
+            self.interim, self.part = self.interim + 1, False
             return
         self.whole, self.again = True, self.parser.should_keep_alive()
 
@@ -122,7 +123,8 @@
             return self.whole
         if not self.headed:
             self.head_bytes += len(data)
-        if not self.begun and not self.whole:
+        # A 1xx one tells that the answer is still to come.
+        if self.part and not self.begun and not self.whole and self.parser.get_status_code() // 100 != 1:
             self.begun = True
             self.exchange.begun()
         return self.interim <= MAX_INTERIM and self.head_bytes <= MAX_HEAD
@@ -158,6 +160,7 @@
         self.answer: Answer | None = None
         self.on_close: Callable[[], None] = nothing
         self.reading = False
+        self.unasked = False  # bytes came ahead of the request: what they tell is no answer to it
         self._out, self._sent = b"", 0
 
     @property
@@ -171,7 +174,7 @@
     @property
     def midway(self) -> bool:
         """A part of the answer has come, or nothing is asked yet though it is connected."""
-        return self.connected and (self.answer is None or self.answer.begun)
+        return self.connected and (self.answer is None or self.answer.part)
 
     @property
     def rest(self) -> bytes:
@@ -189,6 +192,7 @@
     def request(self, method: str, target: str, headers: Headers, body: bytes, exchange: Exchange) -> None:
         """Send one; what comes from clients into its headers was checked to be printable when it came."""
         self.answer = Answer(exchange)
+        self.answer.early = self.unasked
         lines = [f"{method} {target} HTTP/1.1", f"Host: {self.address[0]}:{self.address[1]}",
                  *(f"{name}: {value}" for name, value in headers)]
         if method == "POST":
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -171,6 +171,38 @@
     theirs.close()
 
 
+@pytest.mark.parametrize("waits", [("0.1", "0.4"), ("0.4", "0.1"), ("0.4", "Fri, 31 Dec 1999 23:59:59 GMT"),
+                                   ("0.1, 0.4",), ("nan", "0.4")])
+def test_of_several_told_waits_the_longest_binds(waits):
+    # The last one counted, and a destination that had told to wait longer was called.
+    async def run(h):
+        call, theirs = h.call()
+        lines = "".join(f"Retry-After: {wait}\r\n" for wait in waits).encode()
+        h.told(call, theirs, b"HTTP/1.1 429 x\r\nContent-Length: 0\r\n" + lines + b"\r\n")
+        assert h.outcomes == [TOLD] and h.o.waits == [400_000]
+        theirs.close()
+    held(run)()
+
+
+@pytest.mark.parametrize("cut", [0, 12, 20])
+def test_an_interim_answer_does_not_begin_the_time_of_the_answer(monkeypatch, cut):
+    # A destination that says 102 and works on was given up half a second later, and its call may have run.
+    async def run(h):
+        interim = b"HTTP/1.1 102 Processing\r\n\r\n"
+        call, theirs = h.call()
+        for part in filter(None, (interim[:cut], interim[cut:])):
+            h.told(call, theirs, part)
+            for _ in range(5):
+                await asyncio.sleep(0)
+        assert h.outcomes == [] and call in h.calls.out
+        assert call not in h.calls.unsettled  # nothing of its own answer is read: another process may go on
+        h.told(call, theirs, b"HTTP/1.1 500 x\r\n")
+        assert (await bounded(h.o.ended.get()))[1] == c.Outcome(Result.ERROR, spoilt=True)
+        theirs.close()
+    monkeypatch.setattr(c, "TAIL_S", 0.0)
+    held(run)()
+
+
 # Answers to what is not written whole
 
 
@@ -348,6 +380,30 @@
     held(run)()
 
 
+@pytest.mark.parametrize(("step", "outcome"), [
+    (answer(200), c.Outcome(Result.ERROR, spoilt=True)), (answer(503), c.Outcome(Result.FULL)), (FULL, TOLD)])
+def test_a_200_that_came_on_a_new_connection_ahead_of_the_request_is_none(step, outcome):
+    # The message was over with no effect and no notice. One that is turned away at once may well say so first.
+    async def run(h):
+        h.server.setblocking(False)
+        h.calls.place(1, h.server.getsockname())
+        others = []
+
+        def slow(items, go):
+            theirs, _ = h.server.accept()
+            others.append(theirs)
+            theirs.sendall(step)
+            call, = h.calls.out
+            arrived(call.connection.sock)
+            go(True)
+        h.calls.hooks.begin = slow
+        h.calls.send(1, [c.Item(5, 0, "b", "", b"x", 5_000_000)])
+        assert (await bounded(h.o.ended.get()))[1] == outcome
+        assert not h.calls.out
+        others[0].close()
+    held(run)()
+
+
 # Given up in the instant of the answer
 
 
