--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -383,7 +383,7 @@
 @pytest.mark.parametrize(("step", "outcome"), [
     (answer(200), c.Outcome(Result.ERROR, spoilt=True)), (answer(503), c.Outcome(Result.FULL)), (FULL, TOLD)])
 def test_a_200_that_came_on_a_new_connection_ahead_of_the_request_is_none(step, outcome):
-    # The message was over with no effect and no notice. One that is turned away at once may well say so first.
+    # The message was over with no effect and no notice. One that is turned away at once may say so first.
     async def run(h):
         h.server.setblocking(False)
         h.calls.place(1, h.server.getsockname())
