Large fleets try a returning destination by its rate, and begin their pace lower

Ruled out: the ramp behind the first answer (its sum is as reckoned), the two second burst of a pace, paces that end too soon (taken back).

At fault: Courier._arrived made each message a fixed part of a trial, so that a fleet's trials followed its traffic and not what the destination bears; Health.overloaded began each courier's pace at its whole part.

Change: a message makes up for more where less comes than the listed rate, up to three times; the first pace is 0.6 of the part.

--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -15,6 +15,7 @@
 GROW = 0.1  # and a success adds this share of the listed (or first learned) rate
 NEAR, CALM_US = 0.9, 5_000_000  # near the last refused pace it grows slowly, until this long after
 LEAST = 0.2  # calls a second that a courier of few makes at the least: it would never learn of more
+FIRST = 0.6  # of its part, first pace in a large fleet: by chance alone, at the whole many calls are refused
 FLOOR = 0.4  # but a listed rate is not left further than this behind
 # Health of an endpoint.
 MEMORY = 0.25  # weight of the newest outcome in the failing share
@@ -274,7 +275,7 @@
             if lane.rate:
                 lane.rate = max(lane.rate * CUT, part * FLOOR, 0.0 if self.thin else LEAST)
             elif self.thin:
-                lane.rate = lane.brink = part
+                lane.rate = lane.brink = FIRST * part
                 lane.tokens, lane.stamp = self.random.random(), now
             else:
                 lane.rate = max(0.5, lane.seen * CUT, part * FLOOR)
--- a/madderbeam/policy/messages.py
+++ b/madderbeam/policy/messages.py
@@ -28,6 +28,7 @@
 ROOM = 2  # places kept free for new messages
 QUICK_US = 200_000  # a failure that came this soon may be tried again at once, outage or not
 TORN = 0.08  # share of calls on kept connections that are reset, over which unsafe messages get a new one
+MORE = 3.0  # times its cold share a destination is tried at the most, where less comes than it takes
 DIRTY = 0.15  # share of may-have-run failures over which unsafe messages wait
 # Time-outs.
 LASTS = 2.0  # what is put off for want of slots waits this many times the queue: new messages come first
@@ -164,10 +165,13 @@
         m.dest = dest = self.dests.setdefault(e.destination, Destination(e.destination))
         dest.arrivals += 1
         # A destination in trouble is tried by a share of what comes anew: summed over a fleet it follows the
-        # total, whoever does it. None is saved up: all that were told to wait come back in the same moment.
+        # total, whoever does it, or what it takes where less comes: those that ask seldom found out late.
+        # None is saved up: all that were told to wait come back in the same moment.
+        asked = dest.arrivals / max(1, self.now - self.health.start) * 1e6
         for lane in dest.lanes:
             if (c := lane.circuit) and c.open and self.now >= lane.wait_until:  # a slow start goes by time
-                c.tokens = min(1.0, c.tokens + self.health.warm(c) / len(dest.lanes))
+                part = max(1 / len(dest.lanes), min(MORE / len(dest.lanes), lane.listed / asked))
+                c.tokens = min(1.0, c.tokens + part * self.health.warm(c))
         m.weight = m.cls.worth * e.weight * (1.0 if m.restored else self._share(e.tenant))
         self.messages[m.id], dest.restored = m, dest.restored or m.restored
         full = len(self.messages) >= self.s.max_held - 1
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -51,7 +51,7 @@
         h.end(h.next, Result.OK)
     h.arrive()
     h.end(h.next, Result.FULL)
-    assert h.courier.endpoints[100].lane.rate > 0
+    assert 0.05 < h.courier.endpoints[100].lane.rate < 0.07  # at the whole part chance met many refusals
     sends = 0
     for _ in range(40):
         sends += len(of(Send, h.arrive(life=30 * S, after=250_000)))
@@ -79,7 +79,9 @@
 
 
 @pytest.mark.parametrize("how", [Result.CONNECT_FAILED, Result.ERROR, Result.RESET, Result.TIMEOUT])
-def test_what_a_hundred_couriers_send_into_an_outage_sums_to_the_fall_budget(how):
+@pytest.mark.parametrize(("every", "least"), [(1, 0.0), (4, 0.3)])
+def test_what_a_hundred_couriers_send_into_an_outage_sums_to_the_fall_budget(how, every, least):
+    # Where a fourth comes of what it takes, a courier that seldom asks found out late that it was back.
     rate, cold, multiple, couriers = 40.0, 0.15, 2.5, 100
     given = dict(classes=CLASSES, slots=4, max_held=100, max_attempts=12, rates_listed=True,
                  couriers=couriers, cold_share=cold, cold_us=12 * S, fall_multiple=multiple, tick_us=5000)
@@ -88,12 +90,14 @@
     calls, sent, now, ident = [], [], 1000 * S, 0
     for c in all_:
         c.handle(now, [told])
-    for step in range(4000):  # 40 s, 40 messages a second, each to the next courier by a fixed shuffle
+    seconds = 40 * every
+    for step in range(100 * seconds):  # 40 messages a second or a part, to couriers by a fixed shuffle
         now += 10_000
         inbox = {}
         if step % 2 == 0 and step % 5:
             ident += 1
-            inbox[ident * 37 % couriers] = [MessageArrived(ident, 0, 1, now + 10 * S)]
+            if ident % every == 0:
+                inbox[ident // every * 37 % couriers] = [MessageArrived(ident, 0, 1, now + 10 * S)]
         for k, event in [x for x in calls if x[0][0] <= now]:
             inbox.setdefault(k[1], []).append(event)
         calls = [x for x in calls if x[0][0] > now]
@@ -103,8 +107,8 @@
                     sent.append((now, all_[k].endpoints[100].c.bad > 0))
                     tries = all_[k].messages[a.message].tries - 1
                     calls.append(((now + 50_000, k), ended(a.message, tries, how)))
-    informed = sum(1 for at, seen in sent if seen and at > 1000 * S + 20 * S) / 20
-    assert 0 < informed <= multiple * cold * rate
+    informed = sum(1 for at, seen in sent if seen and at > 1000 * S + 20 * S) / (seconds - 20)
+    assert least * multiple * cold * rate < informed <= multiple * cold * rate
 
 
 def ended(message, attempt, how):
@@ -198,7 +202,7 @@
     h.arrive()
     h.end(1, Result.FULL)
     lane = h.courier.endpoints[100].lane
-    lane.tokens, lane.stamp = 0.0, h.now
+    lane.rate, lane.tokens, lane.stamp = 1.0, 0.0, h.now
     return h
 
 
