Where no rate is listed, paces go by the traffic of each route and may fall with the limit

Traced: 340 of 454 messages were refused at the door in the first seconds, later 1,500 of 2,900 calls. Ruled out: restarts, the list, slots (no call met one that was taken).

At fault, all in Health: own() took a young courier's traffic over 12 s, and a destination's whole traffic for each of its routes; overloaded() let no pace fall below 0.4 of that, and succeeded() gave a tenth of all of it back with each answer.

--- a/madderbeam/policy/health.py
+++ b/madderbeam/policy/health.py
@@ -16,7 +16,8 @@
 NEAR, CALM_US = 0.9, 5_000_000  # near the last refused pace it grows slowly, until this long after
 LEAST = 0.2  # calls a second that a courier of few makes at the least: it would never learn of more
 FIRST = 0.6  # of its part, first pace in a large fleet: by chance alone, at the whole many calls are refused
-FLOOR = 0.4  # but a listed rate is not left further than this behind
+FLOOR = 0.4  # but a listed rate is not left further than this behind; elsewhere its traffic times this is one
+LEAST_US = 2_000_000  # traffic counts over so long at the least: the first messages say little of it
 # Health of an endpoint.
 MEMORY = 0.25  # weight of the newest outcome in the failing share
 STRUCK = 0.5  # failing share at which an endpoint counts as in trouble: three failures in a row from none
@@ -215,11 +216,11 @@
         lane.window = min(self.cap, lane.window + 1)
         if lane.rate:
             top = lane.listed * (1 if lane.lent else self.s.couriers) or math.inf
-            # Fast up to where it was last refused, then slowly, the faster the longer ago that was: growth at
-            # one pace met a refusal in ten calls.
-            near = lane.rate >= NEAR * lane.brink
-            step = GROW * min(1.0, max(0.1, (now - lane.cut_at) / CALM_US)) if near else GROW
-            lane.rate = min(top, lane.rate + step * (lane.listed or max(lane.rate, self.own(lane))))
+            # Fast up to where it was last refused, then slowly, the faster the longer ago that was.
+            calm = min(1.0, max(0.1, (now - lane.cut_at) / CALM_US))
+            step = GROW * (calm if lane.rate >= NEAR * lane.brink else 1.0)
+            unlisted = max(lane.rate, max(FLOOR, calm) * self.own(lane))
+            lane.rate = min(top, lane.rate + step * (lane.listed or unlisted))
             if self.thin and not lane.lent and not lane.dest.queue and now - lane.cut_at > CALM_US:
                 lane.rate = 0.0
         if ep.c.open and (call.sent_at >= ep.c.opened_at or lane.circuit):  # else sent before it was shut
@@ -266,19 +267,19 @@
     def overloaded(self, lane: Lane, told: int) -> None:
         """A refusal as full: pace down, close the window, and wait as told (or a jittered wait)."""
         now, part = self.now, lane.listed or self.own(lane)
+        floor = FLOOR * (lane.listed or FLOOR * part)  # what is asked for may be a multiple of what is taken
         if now >= lane.cut_at:
             lane.cut_at = now + max(int(lane.mean), 2 * self.s.tick_us)
             lane.window = max(1.0, lane.window / 2)
             lane.brink = lane.rate or lane.seen * SPARE
-            # In a large fleet an equal part of a rate is a call in many seconds, and who needs it is chance:
-            # paced only from a refusal on, until no more come and nothing waits.
+            # In a large fleet chance tells who needs its part: paced from a refusal on, until nothing waits.
             if lane.rate:
-                lane.rate = max(lane.rate * CUT, part * FLOOR, 0.0 if self.thin else LEAST)
+                lane.rate = max(lane.rate * CUT, floor, 0.0 if self.thin else LEAST)
             elif self.thin:
                 lane.rate = lane.brink = FIRST * part
                 lane.tokens, lane.stamp = self.random.random(), now
             else:
-                lane.rate = max(0.5, lane.seen * CUT, part * FLOOR)
+                lane.rate = max(0.5, lane.seen * CUT, floor)
             lane.fulls += 1
         lane.wait_until = max(lane.wait_until, now + (told or self.backoff(lane.fulls)))
         self.fill(lane)
@@ -293,8 +294,9 @@
         ep.c.base = ep.lane.listed or max(ep.c.base, own, max(ep.lane.seen * SPARE, 0.5) * self.share)
 
     def own(self, lane: Lane) -> float:
-        """Messages a second that came for it."""
-        return lane.dest.arrivals / max(self.now - self.start, self.s.cold_us, 1) * 1e6
+        """Its part of the messages a second that came for its destination."""
+        seconds = max(self.now - self.start, LEAST_US) / 1e6
+        return lane.dest.arrivals / len(lane.dest.lanes) / seconds
 
     def crowded(self, rate: float) -> bool:
         """Whether two calls of each courier, if over four, push over one of that rate as it returns."""
--- a/madderbeam/policy/messages.py
+++ b/madderbeam/policy/messages.py
@@ -167,11 +167,10 @@
         # A destination in trouble is tried by a share of what comes anew: summed over a fleet it follows the
         # total, whoever does it, or what it takes where less comes: those that ask seldom found out late.
         # None is saved up: all that were told to wait come back in the same moment.
-        asked = dest.arrivals / max(1, self.now - self.health.start) * 1e6
         for lane in dest.lanes:
             if (c := lane.circuit) and c.open and self.now >= lane.wait_until:  # a slow start goes by time
-                part = max(1 / len(dest.lanes), min(MORE / len(dest.lanes), lane.listed / asked))
-                c.tokens = min(1.0, c.tokens + part * self.health.warm(c))
+                more = max(1.0, min(MORE, lane.listed / self.health.own(lane)))
+                c.tokens = min(1.0, c.tokens + more * self.health.warm(c) / len(dest.lanes))
         m.weight = m.cls.worth * e.weight * (1.0 if m.restored else self._share(e.tenant))
         self.messages[m.id], dest.restored = m, dest.restored or m.restored
         full = len(self.messages) >= self.s.max_held - 1
@@ -255,8 +254,7 @@
             if not e.spoilt or self.now - ep.last_ok > SPELL_US:  # a spoilt answer is no trouble by itself
                 self.health.judge(ep, e.result, call, e.latency_us, e.retry_after_us)
             if call.crowded and self.thin and self.freed.pop(ep.id, False):
-                # Nothing waits for a connection that a full table turned away: taken for a free one it sent
-                # what waits there straight to the full table again, whatever was to be waited.
+                # Taken for a free one it sent what waits there straight to the full table again.
                 ep.idle.clear()
                 self.actions.append(CloseIdle(ep.id))
             if call.at_once:  # it got nowhere near the limit
