Simulation: half a line alone as a fault, and no alarm over what comes at the very end

Seen in the whole suite: a script no longer showed the planted bug takes_a_spoilt_answer_for_an_end. Cause: it relied on calls that are answered by a 100 and nothing more, which were given up as spoilt half a second later; since a 1xx does not begin an answer's time they end by their own time-out. Change: such calls are answered by half a first line as often, which still counts as the beginning of an answer. The script as it stood shows the bug again, under the same rule.

One whose time is over is told as before. Its test fails without the change.

--- a/madderbeam/simulation/books.py
+++ b/madderbeam/simulation/books.py
@@ -46,8 +46,9 @@
 def left(host: Host) -> str:
     """What is left of messages though the times of all are up and nothing goes on."""
     c, j = host.courier, host.journal
-    if any(m.until > c.now - REST_US for m in c.messages.values()):
-        return ""  # one was handed in again late
+    if any(m.until > c.now - REST_US for m in c.messages.values()) or any(
+            m.until > j.wall() - REST_US / 1e6 for m, _ in host.admission.arrived.values()):
+        return ""  # one was handed in again late, perhaps so late that its turn is still to come
     kept: dict[str, Any] = {
         "messages": c.messages, "calls": c.calls, "orders": c.keys, "slots": c.out,
         "queues": [d.number for d in c.dests.values() if d.queue], "open in the journal": j.open,
--- a/madderbeam/simulation/endpoints.py
+++ b/madderbeam/simulation/endpoints.py
@@ -60,7 +60,7 @@
         self.table = 1 << 30  # connections that it holds
         self.no_slot = 0.0
         self.gaps = 0.0  # share of bundles' answers that leave one out, name one twice or one of another call
-        self.mute = 0.0  # share of the calls that are answered by a 100 and nothing more
+        self.mute = 0.0  # share of the calls that are answered by a 100 or half a line and nothing more
         self.early = 0.0  # share of the calls that are turned away ahead of their last byte
         self.handshake_us = 0  # that a connection takes longer to come up
         self.late = 0.0  # share of the connections that come up late
@@ -347,7 +347,7 @@
             self.kernel.checker.answered(call, {})
             return
         if call.items and mood.mute and chance.random() < mood.mute:
-            stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            stream.write(b"HTTP/1.1 100 Continue\r\n\r\n" if self.kernel.now_us % 2 else b"HTTP/1.1 50")
             return
         if call.items and mood.spoilt and chance.random() < mood.spoilt:
             self._spoil(call, status, bundle, text)
--- a/madderbeam/simulation/faults.py
+++ b/madderbeam/simulation/faults.py
@@ -230,7 +230,7 @@
             ("closing", "close", 0.8, "A share of the answers ends its connection."),
             ("no_slot", "no_slot", 0.5, "A share of the calls finds no slot (Slots-Taken)."),
             ("gaps", "gaps", 0.9, "A share of the bundles' answers leaves one out, or names one too many."),
-            ("mute", "mute", 0.4, "A share of the calls is answered by a 100 and nothing more.")):
+            ("mute", "mute", 0.4, "A share of the calls is answered by a 100 or half a line alone.")):
         begin = _share(attribute, most)
         begin.__name__, begin.__doc__ = name, text
         kind()(begin)
--- a/tests/simulation/test_books.py
+++ b/tests/simulation/test_books.py
@@ -146,6 +146,18 @@
     assert "are left at the end" in books.left(host)
 
 
+def test_what_came_so_late_that_its_turn_is_still_to_come_is_not_left_but_what_is_over_is(machine):
+    host = machine.host
+    for m in host.courier.messages.values():
+        m.until = 0
+    late = next(iter(host.journal.held.values()))
+    host.admission.arrived[1 << 20] = (late, [])
+    late.until = host.journal.wall() + 6
+    assert books.left(host) == ""
+    late.until = host.journal.wall() - 6
+    assert "are left at the end" in books.left(host)
+
+
 def test_a_run_does_not_depend_on_what_its_process_played_before():
     # The random numbers of a courier that takes over were drawn from the machine.
     script = next(s for s in map(draw, range(2, 200, 4)) if any(f.kind == "upgrade" for f in s.faults))
