--- a/madderbeam/journal/damage.py
+++ b/madderbeam/journal/damage.py
@@ -179,9 +179,9 @@
         if 0 <= closed_size < file.size:  # this courier did not write what follows the recorded end
             file.records = [record for record in file.records if record[0] < closed_size]
     findings += _order_findings(segments)
-    findings += _missing_segments(
-        segments, {file.file_number for file in files if file.error}, bool(findings)
-    )
+    # What a kill leaves hides nothing: a segment is removed only once the record of that is complete.
+    is_damaged = any(finding.is_damage for finding in findings)
+    findings += _missing_segments(segments, {file.file_number for file in files if file.error}, is_damaged)
     return segments, findings
 
 
--- a/tests/journal/test_damage.py
+++ b/tests/journal/test_damage.py
@@ -75,6 +75,15 @@
     check(BEFORE, f"{previous} cut to 0 bytes, {newest} removed", files)
 
 
+@pytest.mark.parametrize("at", [8, 100, len(FILES[NEWEST]) - 1])
+def test_an_older_segment_that_is_removed_is_found_whatever_the_newest_has_suffered(at):
+    # A torn newest segment, as each kill may leave it, hid that an older one was missing.
+    for removed in sorted(FILES)[:-1]:
+        damaged = {file: data for file, data in FILES.items() if file != removed}
+        damaged[NEWEST] = FILES[NEWEST][:at]
+        assert read_folder(disk_of(damaged), FOLDER).damage, f"{removed} removed, {NEWEST} cut to {at}"
+
+
 def test_noise_as_the_only_segment_is_damage():
     # It passed as intact, and a start continued as if no message had been accepted.
     import random
