--- a/bench/journal_damage.py
+++ b/bench/journal_damage.py
@@ -1,6 +1,9 @@
 """Every byte flipped, every length cut, every segment removed, doubled, renamed, replaced: all must be told.
 
-    python bench/journal_damage.py [--step N]
+    python bench/journal_damage.py [--step N] [--starts SEEDS]
+
+So must each two damages to two segments, and a second damage behind a start that was killed, which is drawn
+from SEEDS seeds.
 
 Prints how many cases fell in each row of the table, and the most memory used; exits 1 at the first case whose
 outcome is wrong. One process a core; minutes in full.
@@ -8,6 +11,7 @@
 
 import argparse
 import logging
+import random
 import resource
 import sys
 from collections import Counter
@@ -21,7 +25,7 @@
 PARTS = 32
 
 
-def play(part: int, step: int) -> tuple[Counter[str], int]:
+def play(part: int, step: int, starts: int) -> tuple[Counter[str], int]:
     logging.disable()
     files = damages.recorded()
     before = damages.read_folder(damages.disk_of(files), damages.FOLDER)
@@ -31,17 +35,25 @@
         found = damages.check(before, title, spoilt)
         kinds = sorted({f.kind.text for f in found.findings}) or ["nothing to tell"]
         rows[" + ".join(kinds)] += 1
+    for title, spoilt in islice(damages.pairs(files), part, None, PARTS):
+        found = damages.check_pair(before, title, spoilt)
+        rows["two segments: " + ("found" if found.damage else "only what a kill leaves")] += 1
+    for seed in range(part, starts, PARTS):
+        for case in damages.damaged_twice(files, random.Random(seed)):
+            damages.check_second(*case)
+            rows["a damage, a killed start, a damage"] += 1
     return rows, resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
 
 
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--step", type=int, default=1, help="every so many bytes (1)")
-    step = parser.parse_args().step
+    parser.add_argument("--starts", type=int, default=32, help="seeds of damage around a killed start (32)")
+    arguments = parser.parse_args()
     total: Counter[str] = Counter()
     memory = 0
     with ProcessPoolExecutor() as pool:
-        for rows, used in pool.map(play, range(PARTS), [step] * PARTS):
+        for rows, used in pool.map(play, range(PARTS), [arguments.step] * PARTS, [arguments.starts] * PARTS):
             total += rows
             memory = max(memory, used)
     for row, count in total.most_common():
--- a/madderbeam/journal/damage.py
+++ b/madderbeam/journal/damage.py
@@ -149,10 +149,11 @@
             return None
 
 
-def examine(files: Sequence[SegmentFile]) -> tuple[list[SegmentFile], list[Finding]]:
+def examine(files: Sequence[SegmentFile], marked_number: int = 0) -> tuple[list[SegmentFile], list[Finding]]:
     """The segments to restore from, in order, and all findings; those about single files come first.
 
     Of two files with one number the one whose name agrees is used, else the first; the other is ignored.
+    `marked_number`: the segment that the folder's marker names, whose header was therefore written in full.
     """
     findings: list[Finding] = []
     used: dict[int, SegmentFile] = {}
@@ -171,17 +172,20 @@
     newest_unreadable = max((file.file_number for file in files if file.error), default=0)
     closed_sizes = _closed_sizes(segments)
     for index, file in enumerate(segments):
-        is_newest, closed_size = (
-            index == len(segments) - 1 and file.number > newest_unreadable,
-            closed_sizes.get(file.number, -1),
-        )
-        findings += _file_findings(file, is_newest, closed_size)
+        is_newest = index == len(segments) - 1 and file.number > newest_unreadable
+        may_lack_header = is_newest and file.number > marked_number
+        closed_size = closed_sizes.get(file.number, -1)
+        findings += _file_findings(file, may_lack_header, closed_size)
         if 0 <= closed_size < file.size:  # this courier did not write what follows the recorded end
             file.records = [record for record in file.records if record[0] < closed_size]
     findings += _order_findings(segments)
+    unreadable = {file.file_number for file in files if file.error}
+    missing = _missing_marked_segment(segments, unreadable, marked_number)
     # What a kill leaves hides nothing: a segment is removed only once the record of that is complete.
-    is_damaged = any(finding.is_damage for finding in findings)
-    findings += _missing_segments(segments, {file.file_number for file in files if file.error}, is_damaged)
+    if not any(finding.is_damage for finding in findings):
+        missing |= _missing_segments(segments, unreadable)
+    findings += [Finding(Kind.MISSING, f"segment {number}") for number in sorted(missing)]
+    findings += _pending_removals(segments)
     return segments, findings
 
 
@@ -193,10 +197,14 @@
     return sizes
 
 
-def _file_findings(file: SegmentFile, is_newest: bool, closed_size: int) -> Iterable[Finding]:
-    """What is wrong with one file; `closed_size`: its size when it was closed, -1 if not recorded."""
+def _file_findings(file: SegmentFile, may_lack_header: bool, closed_size: int) -> Iterable[Finding]:
+    """What is wrong with one file.
+
+    `may_lack_header`: the process that created it may have died before its header was written in full.
+    `closed_size`: its size when it was closed, -1 if not recorded.
+    """
     if not file.size:
-        if is_newest:
+        if may_lack_header:
             yield Finding(Kind.EMPTY_NEWEST, file.name)
         elif closed_size > 0:
             yield Finding(Kind.TRUNCATED, file.name, 0, closed_size)
@@ -207,7 +215,7 @@
         first_record_offset = (
             file.invalid[0].end if file.invalid and not file.invalid[0].offset else file.size
         )
-        if is_newest and not file.records and is_torn(file.tail, is_header=True):
+        if may_lack_header and not file.records and is_torn(file.tail, is_header=True):
             yield Finding(Kind.TORN, file.name, 0, file.size)
         else:
             yield Finding(Kind.NO_HEADER, file.name, 0, first_record_offset if file.records else file.size)
@@ -249,35 +257,43 @@
             last_number, last_time = max(last_number, header[3]), max(last_time, header[6])
 
 
-def _missing_segments(
-    segments: Sequence[SegmentFile], unreadable: set[int], is_damaged: bool
-) -> Iterable[Finding]:
-    """The segments that should exist and don't, and those whose removal was recorded and not done.
+def _missing_marked_segment(
+    segments: Sequence[SegmentFile], unreadable: set[int], marked_number: int
+) -> set[int]:
+    """The segment that the marker names, if it should exist and doesn't; else empty.
 
-    If anything else is damaged, the lost record may be the one of a removal: none is reported missing then.
+    A segment is removed only after a newer one has a header.
     """
+    newest_header = max((segment.number for segment in segments if segment.header), default=0)
     present = {segment.number for segment in segments} | unreadable
-    removed = _named_segments(segments, "gone")
-    if not is_damaged:
-        listing = next(
-            (segment for segment in reversed(segments) if segment.sizes_before() is not None), None
-        )
-        expected = set(listing.sizes_before() or ()) if listing else set()
-        # An older "end" record does not count: the segment that it names may have been removed since, and the
-        # record of that as well.
-        expected |= {
-            number
-            for number in _named_segments(segments, "end")
-            if listing is None or number > listing.number
-        }
-        for number in sorted(expected - removed - present):
-            yield Finding(Kind.MISSING, f"segment {number}")
+    return {marked_number} - present if marked_number > newest_header else set()
+
+
+def _missing_segments(segments: Sequence[SegmentFile], unreadable: set[int]) -> set[int]:
+    """The segments that should exist, by the records of the others, and don't.
+
+    Only for a folder that has no other damage: a damaged segment may have held the record of a removal.
+    """
+    listing = next((segment for segment in reversed(segments) if segment.sizes_before() is not None), None)
+    expected = set(listing.sizes_before() or ()) if listing else set()
+    # An older "end" record does not count: the segment that it names may have been removed since, and the
+    # record of that as well.
+    expected |= {
+        number for number in named_segments(segments, "end") if listing is None or number > listing.number
+    }
+    present = {segment.number for segment in segments} | unreadable
+    return expected - named_segments(segments, "gone") - present
+
+
+def _pending_removals(segments: Sequence[SegmentFile]) -> Iterable[Finding]:
+    """The segments whose removal was recorded and not done."""
+    removed = named_segments(segments, "gone")
     for segment in segments[:-1]:
         if segment.number in removed:
             yield Finding(Kind.REMOVAL_PENDING, segment.name)
 
 
-def _named_segments(segments: Sequence[SegmentFile], kind: str) -> set[int]:
+def named_segments(segments: Sequence[SegmentFile], kind: str) -> set[int]:
     """The segments that records of this kind name."""
     found = (record for s in segments for _, record in s.records if record[0] == kind and len(record) > 1)
     return {record[1] for record in found if isinstance(record[1], int)}
--- a/madderbeam/journal/journal.py
+++ b/madderbeam/journal/journal.py
@@ -107,7 +107,7 @@
         self.compaction_paused_until = self.expired_at = 0.0
         self.copied_bytes = 0  # of the victim's records so far
         self.files = SegmentFiles(
-            disk, folder, limit_bytes, space_budget.segment_bytes(limit_bytes), self._header
+            disk, folder, limit_bytes, space_budget.segment_bytes(limit_bytes), self._header, sync
         )
         self._restore(read_folder(disk, folder))
         with contextlib.suppress(OSError):
--- a/madderbeam/journal/recovery.py
+++ b/madderbeam/journal/recovery.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from madderbeam.journal.damage import Finding, Kind, SegmentFile, examine
+from madderbeam.journal.damage import Finding, Kind, SegmentFile, examine, named_segments
+from madderbeam.journal.newest_marker import marked_number
 from madderbeam.journal.records import FORMAT, invalid_range, is_torn, rounded_to_blocks, scan
 from madderbeam.journal.segments import PREFIX, segment_name, segment_number
 from madderbeam.ports import Disk
@@ -29,7 +30,7 @@
     findings: list[Finding] = field(default_factory=list)
     checksums: dict[int, int] = field(default_factory=dict)  # of damaged files, by the number in the name
     ignored_bytes: int = 0  # in whole blocks, of files with a segment's prefix that are not restored from
-    highest_number: int = 0  # that any file has, in its name or its header
+    highest_number: int = 0  # of any segment that exists or is known to be missing
     format_1_records: list[list[Any]] = field(default_factory=list)
     has_format_1: bool = False
 
@@ -46,7 +47,8 @@
     can't be read is a finding.
     """
     contents = FolderContents()
-    names = disk.names(folder)
+    marked = marked_number(disk.names(folder))
+    names = disk.names(folder)  # listed after the marker: a running courier may be starting a segment
     files, foreign = [], []
     for file in sorted(file for file in names if file.startswith(PREFIX)):
         if segment_number(file) and file == segment_name(segment_number(file)):
@@ -58,9 +60,12 @@
             raise NewerFormatError(
                 f"{folder}: was written in format {part.header[1]}; this version reads up to {FORMAT}"
             )
-    contents.segments, contents.findings = examine(files)
+    contents.segments, contents.findings = examine(files, marked)
     contents.findings += foreign
-    contents.highest_number = max((max(part.file_number, part.number) for part in files), default=0)
+    numbers = {part.file_number for part in files} | {part.number for part in files}
+    # A new segment must not take the place of a missing one, which the next start would then not miss.
+    numbers |= {marked} | named_segments(contents.segments, "end")
+    contents.highest_number = max(numbers)
     used = {part.name for part in contents.segments}
     ignored = [part.name for part in files if part.name not in used] + [finding.file for finding in foreign]
     contents.ignored_bytes = sum(rounded_to_blocks(_file_size(disk, f"{folder}/{file}")) for file in ignored)
--- a/madderbeam/journal/segments.py
+++ b/madderbeam/journal/segments.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from madderbeam.journal import space_budget
+from madderbeam.journal.newest_marker import NewestMarker
 from madderbeam.journal.records import FORMAT, frame, rounded_to_blocks
 from madderbeam.ports import Disk, File
 
@@ -64,6 +65,7 @@
         limit: int,
         segment_bytes: int,
         make_header: Callable[[int], list[Any]],
+        is_synced: bool = False,
     ) -> None:
         self.disk, self.folder, self.limit_bytes, self.segment_bytes, self.make_header = (
             disk,
@@ -72,6 +74,9 @@
             segment_bytes,
             make_header,
         )
+        self.is_synced = is_synced  # the marker waits for `sync`, so that it never survives a header's loss
+        self.marker = NewestMarker(disk, folder)
+        self.is_marker_due = True
         self.segments: dict[int, Segment] = {}
         self.used_bytes = 0  # bytes of all files, in whole blocks
         self.newest = 0
@@ -141,6 +146,8 @@
         segment.size += len(data)
         segment.overhead_bytes += len(header)
         self.used_bytes += more
+        if self.is_marker_due and not self.is_synced:
+            self._mark_newest()
 
     def start_new_segment(self, above: int = 0) -> None:
         """Start a new segment with the next record. With `above`, its number is `above` + 1 at once, and the
@@ -172,6 +179,12 @@
         """Sync the written records to the disk, so that they survive a power loss; OSError if that fails."""
         if self.file is not None:
             self.file.sync()
+            if self.is_marker_due and self.active.size:
+                self._mark_newest()
+
+    def _mark_newest(self) -> None:
+        self.is_marker_due = False
+        self.marker.advance(self.newest)
 
     def _roll(self) -> None:
         """Start the next segment. A torn end of the old one is cut off first, or it would look damaged. The
@@ -187,6 +200,7 @@
             self._write_end_record(following.number)
         self.file.close()
         self.file, self.may_be_torn, self.must_roll = new_file, True, False
+        self.is_marker_due = True
         self.newest = following.number
         self.segments[self.newest] = following
         self.ensure_open()
--- a/tests/journal/test_damage.py
+++ b/tests/journal/test_damage.py
@@ -1,6 +1,7 @@
 """Damage of every kind is found: a sample of the cases that bench/journal_damage.py runs in full."""
 
 import itertools
+import random
 
 import damages
 import pytest
@@ -10,15 +11,17 @@
 
 from madderbeam.journal import damage, inspect, records
 from madderbeam.journal.damage import Kind
+from madderbeam.journal.newest_marker import marker_name
 from madderbeam.journal.recovery import read_folder
 
 FILES = damages.recorded()
+SEGMENTS = damages.segments_of(FILES)
 BEFORE = read_folder(disk_of(FILES), FOLDER)
 NEWEST = max(FILES)
 
 
 def test_the_recorded_folder_is_intact():
-    assert not BEFORE.findings and len(BEFORE.segments) == len(FILES)
+    assert not BEFORE.findings and len(BEFORE.segments) == len(SEGMENTS)
 
 
 @pytest.mark.parametrize("part", range(4))
@@ -75,19 +78,54 @@
     check(BEFORE, f"{previous} cut to 0 bytes, {newest} removed", files)
 
 
+@pytest.mark.parametrize("part", range(4))
+def test_two_damaged_segments_are_found(part):
+    rng = random.Random(part)
+    for title, files in rng.sample(list(damages.pairs(FILES)), 120):
+        damages.check_pair(BEFORE, title, files)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_damage_is_not_forgotten_by_a_killed_start_and_further_damage(seed):
+    cases = list(damages.damaged_twice(FILES, random.Random(seed)))
+    for case in random.Random(seed).sample(cases, 120):
+        damages.check_second(*case)
+
+
+@pytest.mark.parametrize(
+    "files", [FILES, damages.without_marker(FILES)], ids=["marked", "of an earlier version"]
+)
 @pytest.mark.parametrize("at", [8, 100, len(FILES[NEWEST]) - 1])
-def test_an_older_segment_that_is_removed_is_found_whatever_the_newest_has_suffered(at):
+def test_an_older_segment_that_is_removed_is_found_whatever_the_newest_has_suffered(files, at):
     # A torn newest segment, as each kill may leave it, hid that an older one was missing.
-    for removed in sorted(FILES)[:-1]:
-        damaged = {file: data for file, data in FILES.items() if file != removed}
-        damaged[NEWEST] = FILES[NEWEST][:at]
+    for removed in sorted(SEGMENTS)[:-1]:
+        damaged = damages.with_damage(files | {NEWEST: FILES[NEWEST][:at]}, removed, None)
         assert read_folder(disk_of(damaged), FOLDER).damage, f"{removed} removed, {NEWEST} cut to {at}"
 
 
+def test_a_folder_of_an_earlier_version_passes_as_it_was():
+    # It has no marker: its newest segment may be empty, or end within its header, as a kill left it.
+    older = damages.without_marker(FILES)
+    assert not read_folder(disk_of(older), FOLDER).findings
+    for at in range(damages.header_end(FILES[NEWEST])):
+        cut = older | {NEWEST: FILES[NEWEST][:at]}
+        assert not read_folder(disk_of(cut), FOLDER).damage, at
+
+
+def test_a_marker_that_is_behind_missing_or_filled_is_no_damage():
+    marker = (FILES.keys() - SEGMENTS.keys()).pop()
+    for other in ({}, {marker_name(4): b""}, {marker_name(8): b"", marker: b""}, {marker: b"noise"}):
+        assert not read_folder(disk_of(SEGMENTS | other), FOLDER).findings, other
+
+
+def test_a_folder_that_lost_all_segments_is_damaged():
+    files = FILES.keys() - SEGMENTS.keys()
+    found = read_folder(disk_of(dict.fromkeys(files, b"")), FOLDER)
+    assert [(f.kind, f.file) for f in found.damage] == [(Kind.MISSING, "segment 9")]
+
+
 def test_noise_as_the_only_segment_is_damage():
     # It passed as intact, and a start continued as if no message had been accepted.
-    import random
-
     files = {"segment-00000001.journal": random.Random(1).randbytes(5000)}
     findings = inspect.verify(disk_of(files), FOLDER)
     assert [(f.kind, f.offset, f.end) for f in findings] == [(Kind.NO_HEADER, 0, 5000)]
@@ -98,13 +136,13 @@
     whole = disk.read
 
     def fails(path):
-        if path.endswith(sorted(FILES)[1]):
+        if path.endswith(sorted(SEGMENTS)[1]):
             raise OSError(5, "Input/output error")
         return whole(path)
 
     disk.read = fails
     found = read_folder(disk, FOLDER)
-    assert [f.kind for f in found.damage] == [Kind.UNREADABLE] and len(found.segments) == len(FILES) - 1
+    assert [f.kind for f in found.damage] == [Kind.UNREADABLE] and len(found.segments) == len(SEGMENTS) - 1
 
 
 def stops_silently(data):
