--- a/bench/journal.py
+++ b/bench/journal.py
@@ -1,11 +1,11 @@
-"""The journal against its earlier form, SQLite and LMDB, in one run: stalls, writes, bytes, CPU, restart.
+"""The journal against another revision's, SQLite and LMDB, in one run: stalls, writes, bytes, CPU, restart.
 
     python bench/journal.py [--other FOLDER] [--mb 3 64 512] [--ids 200000]
 
-FOLDER is a tree whose journal is one file; without it that row is left out, as is LMDB where the package is
-not installed. Steady load on each by itself, on the real disk: messages of 300 B are taken on, tried and end,
-as many held as an eighth of the limit takes; GROUP messages make a turn, and a turn is one write or
-transaction.
+FOLDER is a tree of another revision, since the readers' sitting; without it that row is left out, as is LMDB
+where the package is not installed. Steady load on each by itself, on the real disk: messages of 300 B are
+accepted, attempted and completed, as many pending as an eighth of the limit takes; GROUP messages make a turn,
+and a turn is one write or transaction.
 
 Each row: the longest turn, the longest step of compaction, and the most CPU that one turn and one step took:
 what this code takes, apart from what else keeps the machine; the 99.9th percentile of both;
@@ -37,46 +37,47 @@
 limit, body = int(mb * 1e6), b"x" * 300
 if which in ("old", "new"):
     from madderbeam.journal.journal import Journal
-    try:
-        from madderbeam.journal.pending_message import Held
-    except ImportError:
-        from madderbeam.journal.journal import Held
+    from madderbeam.journal.pending_message import PendingMessage
     from madderbeam.ports.real import RealClock, RealDisk
 
 waiting = []
 
+def do_nothing():
+    pass
+
+def raise_error(error):
+    raise error
+
 class Ours:
     def __init__(self):
-        more = (lambda s, action: waiting.append(action),) if which == "new" else ()
-        self.journal = Journal(RealDisk(), RealClock(), folder, limit, 5.0, *more)
-    def held(self, k, life):
-        return Held(k, f"{k:016x}", 0, 0, 7, "", self.journal.wall() + life, False, body)
+        call_later = lambda s, action: waiting.append(action)
+        self.journal = Journal(RealDisk(), RealClock(), folder, limit, 5.0, call_later)
+    def message(self, k, life):
+        return PendingMessage(k, f"{k:016x}", 0, 0, 7, "", self.journal.wall() + life, False, body)
     def turn(self, numbers, over):
         j = self.journal
-        if which == "new":
-            j.begin()
+        j.begin()
         for k in numbers:
-            j.take(self.held(k, -3.0))
+            j.accept(self.message(k, -3.0), do_nothing, raise_error)
             j.attempt([k], j.wall())
         for k in over:
-            j.done(k)
-        if which == "new":
-            j.commit()
+            j.complete(k)
+        j.commit()
     def count(self):
-        return len(self.journal.held)
+        return len(self.journal.pending)
     def close(self):
         self.journal.close()
     def usable(self, n):
         while True:
             n += 1
             try:
-                self.journal.take(self.held(n, 60))
+                self.journal.accept(self.message(n, 60))
             except OSError:
                 if not waiting:
                     break
             while waiting:  # compaction goes on as it would between turns
                 waiting.pop(0)()
-        return len(self.journal.held) * 300 / limit
+        return len(self.journal.pending) * 300 / limit
 
 class Sqlite:
     def __init__(self):
@@ -122,7 +123,7 @@
 
 def make():
     """A store, with the garbage collector set as the courier's process sets it."""
-    if which != "new":
+    if kind is not Ours:
         return kind()
     from madderbeam.host.process import collector_paused
     with collector_paused():
@@ -134,15 +135,15 @@
     for n in range(0, ids, 100):
         j.begin()
         for k in range(n, n + 100):
-            m = Held(k + 1, f"{k:016x}", 0, 0, 7, f"{k:016x}", j.wall() + 600, False, b"")
-            j.take(m)
+            m = PendingMessage(k + 1, f"{k:016x}", 0, 0, 7, f"{k:016x}", j.wall() + 600, False, b"")
+            j.accept(m, do_nothing, raise_error)
             j.attempt([m.number], j.wall())
-            j.done(m.number)
+            j.complete(m.number)
         j.commit()
     store.close()
     began = time.perf_counter()
     store = make()
-    print(json.dumps({"restart_s": time.perf_counter() - began, "ids": len(store.journal.over),
+    print(json.dumps({"restart_s": time.perf_counter() - began, "ids": len(store.journal.completed_ids),
                       "keys": len(store.journal.keys)}))
     raise SystemExit
 store, keep = make(), max(20, int(limit / 8 / 500))
