--- a/bench/journal.py
+++ b/bench/journal.py
@@ -4,8 +4,8 @@
 
 FOLDER is a tree of another revision, since the readers' sitting; without it that row is left out, as is LMDB
 where the package is not installed. Steady load on each by itself, on the real disk: messages of 300 B are
-accepted, attempted and completed, as many pending as an eighth of the limit takes; GROUP messages make a turn,
-and a turn is one write or transaction.
+accepted, attempted and completed, as many pending as an eighth of the limit takes; GROUP messages make a
+turn, and a turn is one write or transaction.
 
 Each row: the longest turn, the longest step of compaction, and the most CPU that one turn and one step took:
 what this code takes, apart from what else keeps the machine; the 99.9th percentile of both;
