Client library: what is written just before a rotation of the feed is read

Callers: finals that the courier wrote between the client's empty read and its look at the feed's name were skipped, so that a program never learnt that these messages had not been delivered. Cause: the client left a file as soon as it found another one under its name, without reading it again.

--- a/madderbeam/client.py
+++ b/madderbeam/client.py
@@ -138,6 +138,7 @@
                 if first:  # looked up once the feed is open: what is rotated from now on is this file
                     yield from self._rotated_finals(file.fileno())
                     first = False
+                is_replaced = False
                 while True:
                     text = file.read()
                     if text:
@@ -146,9 +147,12 @@
                         continue
                     if not wait:
                         return
-                    if self._replaced(file.fileno()):
+                    if is_replaced:
                         break
-                    time.sleep(poll_s)
+                    # If so, all that the courier wrote to this file is there: it is read once more.
+                    is_replaced = self._replaced(file.fileno())
+                    if not is_replaced:
+                        time.sleep(poll_s)
 
     def _rotated_finals(self, descriptor: int) -> Iterator[Final]:
         """Yield the finals of the feed that was rotated before the open one."""
