Client library: a feed between two rotations, or behind a torn line, is read

Callers: finals of a feed that was started and rotated between two reads were skipped; so was the first final of a feed whose predecessor ended in a line that a kill had cut short. Cause: the rotated feed was looked at once, at the first open; and the torn rest of one file was joined with the first line of the next. Evidence: two tests, both seen to fail on the commit before. Why this works: at each open the rotated feed is read unless it is the file read before or the open one; two feeds exist at the same time when the second is created, so their inodes differ. A rest is dropped with its file.

--- a/madderbeam/client.py
+++ b/madderbeam/client.py
@@ -125,7 +125,7 @@
         """
         if self.feed is None:
             raise ValueError("feed: no file was given")
-        tail, first = "", True
+        inode_read = 0  # of the feed that was read before this one
         while True:
             try:
                 file = self.feed.open(encoding="utf-8")
@@ -135,33 +135,34 @@
                 time.sleep(poll_s)
                 continue
             with file:
-                if first:  # looked up once the feed is open: what is rotated from now on is this file
-                    yield from self._rotated_finals(file.fileno())
-                    first = False
-                is_replaced = False
+                inode = os.fstat(file.fileno()).st_ino
+                # Looked up once the feed is open: what is rotated from now on is this file.
+                yield from self._rotated_finals({inode_read, inode})
+                inode_read = inode
+                tail, is_replaced = "", False
                 while True:
                     text = file.read()
                     if text:
                         complete_lines, newline, tail = (tail + text).rpartition("\n")
                         yield from _lines(complete_lines + newline)
                         continue
-                    if not wait:
-                        return
-                    if is_replaced:
+                    if is_replaced or not wait:
                         break
                     # If so, all that the courier wrote to this file is there: it is read once more.
                     is_replaced = self._replaced(file.fileno())
                     if not is_replaced:
                         time.sleep(poll_s)
+            if not wait:
+                return
 
-    def _rotated_finals(self, descriptor: int) -> Iterator[Final]:
-        """Yield the finals of the feed that was rotated before the open one."""
+    def _rotated_finals(self, inodes_read: set[int]) -> Iterator[Final]:
+        """Yield the finals of the rotated feed, unless it is one of these files."""
         assert self.feed is not None
         with (
             contextlib.suppress(FileNotFoundError),
             self.feed.with_name(self.feed.name + ".1").open(encoding="utf-8") as old,
         ):
-            if os.fstat(old.fileno()).st_ino != os.fstat(descriptor).st_ino:
+            if os.fstat(old.fileno()).st_ino not in inodes_read:
                 yield from _lines(old.read())
 
     def _replaced(self, descriptor: int) -> bool:
--- a/tests/sidecar/test_redis_clients.py
+++ b/tests/sidecar/test_redis_clients.py
@@ -1,6 +1,7 @@
 """Clients of Redis as they are, and the small client on redis-py."""
 
 import asyncio
+import itertools
 import json
 import threading
 
@@ -275,3 +276,44 @@
     feed.write_text(row(1))
     finals = Courier("redis://127.0.0.1:1", feed).finals(poll_s=0.01)
     assert [next(finals).id for _ in range(2)] == ["m1", "m2"]
+
+
+def ids_within(finals, count, seconds=3):
+    """The ids of the next finals, fewer if they don't come in time."""
+    got = []
+
+    def read():
+        for final in itertools.islice(finals, count):
+            got.append(final.id)
+
+    thread = threading.Thread(target=read, daemon=True)
+    thread.start()
+    thread.join(seconds)
+    return got
+
+
+def final_line(n):
+    return json.dumps({"id": f"m{n}", "status": "deferred", "again_ms": n}) + "\n"
+
+
+def test_the_small_client_reads_a_feed_that_was_rotated_before_it_was_opened(tmp_path):
+    # Two rotations between two reads: the feed in between was skipped.
+    feed = tmp_path / "f.jsonl"
+    feed.write_text(final_line(1))
+    finals = Courier("redis://127.0.0.1:1", feed).finals(poll_s=0.01)
+    assert ids_within(finals, 1) == ["m1"]
+    for n in (2, 3):
+        feed.rename(tmp_path / "f.jsonl.1")
+        feed.write_text(final_line(n))
+    assert ids_within(finals, 2) == ["m2", "m3"]
+
+
+def test_a_torn_line_at_the_end_of_a_rotated_feed_spoils_no_line_of_the_next(tmp_path):
+    # A line that a kill cut short was joined with the first line of the next feed, and both were skipped.
+    feed = tmp_path / "f.jsonl"
+    feed.write_text(final_line(1) + final_line(2)[:9])
+    finals = Courier("redis://127.0.0.1:1", feed).finals(poll_s=0.01)
+    assert ids_within(finals, 1) == ["m1"]
+    feed.rename(tmp_path / "f.jsonl.1")
+    feed.write_text(final_line(2))
+    assert ids_within(finals, 1) == ["m2"]
