Simulation: an endpoint may be called once an enable call has reached the courier

Cause: two operators of one endpoint. A trace of their calls shows: one asked to enable it at 6.13 s, while n0 was down, and asked again each 0.3 s; the other's disable call got its 200 at 7.84 s; the first one's call reached n0 at 7.94 s and got its 200 at 7.98 s. The restart at 8.75 s lost nothing: the endpoint was enabled, as asked. The checker went by the moment of the first enable call alone. Change: the claim ends with each enable call that is made and with its answer; a disable call that was answered with yes counts as before.

--- a/madderbeam/simulation/operator.py
+++ b/madderbeam/simulation/operator.py
@@ -104,8 +104,23 @@
 
     def enable(self, uid: str) -> None:
         self.wanted = False
+        self._ask_enable(uid)
+
+    def _ask_enable(self, uid: str) -> None:
+        """Call until the answer is yes.
+
+        The endpoint may be used again from each call on, and behind its answer if another operator had it
+        disabled meanwhile: the courier may have carried out the two in either order.
+        """
+
+        def done(status: int) -> None:
+            self.checker.put_back(self.machine.name, uid)
+            if not 200 <= status < 300:
+                self.kernel.after(AGAIN_US, self._ask_enable, uid)
+
         self.checker.put_back(self.machine.name, uid)
-        self._ask("/endpoints/enable", json.dumps({"member": uid}).encode(), False, lambda: None)
+        body = json.dumps({"member": uid}).encode()
+        ControlCall(self.kernel, self.machine, "PUT", "/endpoints/enable", body, done)
 
     def drain(self) -> None:
         self.clients.drains.add(self.machine.name)
--- a/tests/simulation/test_mended.py
+++ b/tests/simulation/test_mended.py
@@ -143,3 +143,23 @@
             report = play(replace(made, seed=seed, faults=(*faults, *older, *newer)))
             rules.add(report.violation.rule if report.violation else "")
     assert rules == ({""} if mended else {"", "ends"})
+
+
+def test_an_endpoint_that_an_operator_enables_behind_another_ones_disable_call_may_be_called():
+    # The checker went by the first enable call, which nobody had answered, and not by the one that was.
+    first = Fault("by_hand", at_ms=1_000, for_ms=500, value=0.9)
+    second = Fault("by_hand", at_ms=1_700, for_ms=60_000, value=0.9)
+    world = staged(Script(seed=1, couriers=1, dests=1, rate_per_s=20, seconds=6.0, faults=(first, second)))
+    closed: dict = {}
+
+    def close():  # the first enable call, at 1.5 s, is refused, and made again at 1.8 s
+        closed.update(world.machines[0].network.listeners)
+        world.machines[0].network.listeners.clear()
+
+    world.after(1_490_000, close)
+    world.after(1_650_000, lambda: world.machines[0].network.listeners.update(closed))
+    world.after(4_000_000, lambda: out.append(dict(world.checker.by_hand)))
+    out: list[dict] = []
+    report = world.play()
+    assert report.violation is None, report.line
+    assert out == [{}]
