Disabled endpoints survive a single read error at the start

Callers: behind one failed read of the file, every endpoint that an operator had disabled was called again, and the operator's next change wrote the file without them. Cause: DisabledEndpoints read it once and took each OSError for an empty list. The test of one read error was seen to fail without the change. A file that stays unreadable is told in the log as before, and disables nothing.

--- a/madderbeam/host/atomic_file.py
+++ b/madderbeam/host/atomic_file.py
@@ -1,4 +1,4 @@
-"""Atomic replacement of small files."""
+"""Reading and atomic replacement of small files."""
 
 from __future__ import annotations
 
@@ -8,6 +8,18 @@
 from madderbeam.ports import Disk
 
 
+def read(disk: Disk, path: str, tries: int) -> bytes:
+    """Return the file's content, read again after an error up to `tries` times; OSError if none succeeds."""
+    for _ in range(tries - 1):
+        try:
+            return disk.read(path)
+        except FileNotFoundError:
+            raise
+        except OSError:
+            continue
+    return disk.read(path)
+
+
 def replace(disk: Disk, path: str, data: bytes) -> None:
     """Replace the file's content; OSError, with the old content kept, if not all of it could be written."""
     new_path = path + ".new"
--- a/madderbeam/host/disabled_endpoints.py
+++ b/madderbeam/host/disabled_endpoints.py
@@ -5,11 +5,13 @@
 import json
 import logging
 
+from madderbeam.host import atomic_file
 from madderbeam.ports import Disk
 
 FILE = "bans"
 MAX_DISABLED = 64  # at the same time
 MAX_ID_CHARACTERS = 128
+READ_TRIES = 3  # of a file with a read error: it would enable endpoints
 # Disk space for the file and its replacement, each rounded up to whole blocks of 512 bytes.
 RESERVED_BYTES = 2 * 512 * -(-MAX_DISABLED * (MAX_ID_CHARACTERS + 4) // 512)
 log = logging.getLogger(__name__)
@@ -28,7 +30,7 @@
 
     def _read(self) -> dict[str, None]:
         try:
-            ids = json.loads(self.disk.read(self.path))
+            ids = json.loads(atomic_file.read(self.disk, self.path, READ_TRIES))
             if not isinstance(ids, list) or not all(isinstance(uid, str) for uid in ids):
                 raise ValueError("must be a list of ids")
         except FileNotFoundError:
@@ -63,11 +65,4 @@
 
     def _write(self) -> None:
         """Write the file atomically: a partial one would enable endpoints."""
-        data, new_path = json.dumps(list(self.ids)).encode(), f"{self.path}.new"
-        file = self.disk.open(new_path, empty=True)
-        try:
-            if file.append(data) != len(data):
-                raise OSError("the disk is full")
-        finally:
-            file.close()
-        self.disk.rename(new_path, self.path)
+        atomic_file.replace(self.disk, self.path, json.dumps(list(self.ids)).encode())
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -199,6 +199,24 @@
     assert "a" in bans and "a" not in DisabledEndpoints(RealDisk(), str(tmp_path))
 
 
+class FailingOnce(RealDisk):
+    """A disk with one read error."""
+
+    failed = False
+
+    def read(self, path):
+        if not self.failed:
+            self.failed = True
+            raise OSError(5, "Input/output error")
+        return super().read(path)
+
+
+def test_a_single_read_error_enables_no_endpoint(tmp_path):
+    # It was taken for a file without endpoints, and the next change would have overwritten it.
+    DisabledEndpoints(RealDisk(), str(tmp_path)).add("a")
+    assert "a" in DisabledEndpoints(FailingOnce(), str(tmp_path))
+
+
 def test_a_file_of_bans_that_can_not_be_read_puts_nobody_out(tmp_path):
     (tmp_path / "bans").write_text('["a", 7]')
     assert "a" not in DisabledEndpoints(RealDisk(), str(tmp_path))
