Simulation: data for a process that died as it was called is dropped

Cause: the called process was gone between the fabric's look at its listener and the dial; the caller's end was up, and what it wrote before it heard of the refusal arrived where nobody was.

--- a/tests/simulation/test_fabric.py
+++ b/tests/simulation/test_fabric.py
@@ -211,3 +211,24 @@
             b.close()
 
     asyncio.run(main())
+
+
+def test_data_for_a_process_that_died_as_it_was_called_is_dropped_and_the_caller_told():
+    # It ended the run with an AssertionError (--sharing --seed 19).
+    pair = Pair()
+    pair.b.listen(B, 5)
+    dial = pair.fabric._dial
+
+    def dies_first(address, far):
+        pair.fabric.leave(pair.b)
+        dial(address, far)
+
+    pair.fabric._dial = dies_first
+    stream = pair.a.stream(B)
+    assert stream.connect_ex(B) == errno.EINPROGRESS
+    while not stream.writable:
+        pair.run(10)
+    assert stream.send(b"hello") == 5
+    pair.run()
+    with pytest.raises(ConnectionResetError):
+        stream.recv(10)
