Simulation: a lease that a member returns at SIGTERM starts the time of rule S2 anew

Cause: the trace of each grantor's term, grants and each member's amount shows one term throughout, and two members each at 7.95, 8.95 and 9.95 s going from 3.3 to their floor of 0.3: a rolling restart's SIGTERMs, at which members return their leases. The grantor gave each share out again 0.4 to 0.6 s later; the judge looked 45 ms behind the third SIGTERM, and counted only starts and deaths as changes. Change: SIGTERM counts as one, for this rule alone; its bound stays.

--- a/madderbeam/simulation/federation.py
+++ b/madderbeam/simulation/federation.py
@@ -184,6 +184,7 @@
         """SIGTERM."""
         if self.up and self.ready_us >= 0:
             self.world.note(self.name, "SIGTERM")
+            self.world.judge.terminated(self)
             self.loop.signal(signal.SIGTERM)
 
     def pause(self, for_us: int) -> None:
--- a/madderbeam/simulation/fedjudge.py
+++ b/madderbeam/simulation/fedjudge.py
@@ -354,6 +354,8 @@
         self.told[member] = set()
         self.held[member] = True
 
+    def terminated(self, member: Member) -> None: ...
+
     def died(self, member: Member) -> None: ...
 
     def resumed(self, member: Member, paused_us: int) -> None:
--- a/madderbeam/simulation/sharejudge.py
+++ b/madderbeam/simulation/sharejudge.py
@@ -32,6 +32,7 @@
         super().__init__(world)
         self.rest_us = 0  # since then no fault lies between members
         self.changed_us = 0  # when a member last started, ended or went on
+        self.returned_us = 0  # when a member was last told to end: it returns its leases
         self.used: dict[Member, dict[str, float]] = defaultdict(dict)
         self.lives: dict[Member, int] = {}
         self.since: dict[tuple[Member, str], int] = {}  # when an amount was last another
@@ -61,6 +62,9 @@
                 msg.until_us += paused_us
         self.changed_us = self.world.now_us
 
+    def terminated(self, member: Member) -> None:
+        self.returned_us = self.world.now_us
+
     def died(self, member: Member) -> None:
         self.changed_us = self.ended[member, member.life] = self.world.now_us
 
@@ -153,7 +157,7 @@
             return
         members = world.sites["macon"]
         up = [m for m in members if m.works and m.ready_us >= 0]
-        quiet = max(self.rest_us, self.changed_us)
+        quiet = max(self.rest_us, self.changed_us, self.returned_us)
         if 2 * len(up) <= len(members) or not quiet + LEASES_US < world.now_us < world.heal_us:
             return
         for partner in world.partners:
