Simulation: a member that is killed behind the healing comes back

Cause: by the trace m3 is killed for good at 14.07 s, 70 ms behind the healing, which had started all members: the fault told_and_gone kills 1 s and the bound of news (3 s on a large site) behind its begin. m3 was dead; m1 was right. Change: behind the healing such a kill is one of those that come back. The other faults that keep a member away begin ahead of the healing by their drawn times (kill_half, granter_dies).

--- a/madderbeam/simulation/sharefaults.py
+++ b/madderbeam/simulation/sharefaults.py
@@ -167,7 +167,10 @@
 
 
 def _told_and_gone(f: Troubles) -> None:
-    """One is told to wait (or all are, unlike), and one is gone once the others have heard of it."""
+    """One is told to wait (or all are, unequally), and one is gone once the others have heard of it.
+
+    It stays away until all is whole again.
+    """
     world, partner = f.world, f.rated()
     until_us = world.now_us + S
     partner.moods.append((until_us, "waits", 1.0))
@@ -185,7 +188,7 @@
     def die() -> None:
         told = [t for t in world.judge.waits[partner.number] if t.until_us > world.now_us + 4 * S]
         if told and len(f.site()) > 2:
-            told[0].member.die(back=False)
+            told[0].member.die(back=world.now_us >= world.heal_us)
 
     world.after(S + world.news_us, die)
 
--- a/tests/simulation/test_sharing_seeds.py
+++ b/tests/simulation/test_sharing_seeds.py
@@ -1,6 +1,7 @@
 """One site of couriers that share, on the virtual loop, judged from outside."""
 
-from madderbeam.simulation.sharing import play
+from madderbeam.simulation.sharefaults import KINDS, Troubles
+from madderbeam.simulation.sharing import Sharing, play
 
 
 def test_a_site_without_faults_delivers_all_that_its_limits_allow():
@@ -14,6 +15,14 @@
 
 
 def test_leases_that_members_return_as_they_are_told_to_end_are_given_out_in_time():
-    # Rule S2 counted from the last start or death, and not from SIGTERM, at which a member returns its leases.
+    # Rule S2 counted from the last start or death, not from SIGTERM, at which a member returns its leases.
     for seed in (5, 17):
         assert not play(seed, members=4, kinds=("terminate",)).line
+
+
+def test_a_member_that_is_killed_after_all_is_whole_comes_back():
+    # It stayed away, and rule F6 wants all members to see each other at the end (seed 61025).
+    for seed in (3, 6):
+        world = Sharing(seed, members=3, kinds=("told_and_gone",))
+        world.after(world.heal_us - 2_500_000, KINDS["told_and_gone"], Troubles(world))
+        assert not world.play().line
