--- a/madderbeam/simulation/sharejudge.py
+++ b/madderbeam/simulation/sharejudge.py
@@ -14,7 +14,9 @@
 Rated: TypeAlias = Any
 S = 1_000_000
 # As the operators' page counts a cold partner's calls.
-FALL, FALL_US, COLD_SHARE, SLACK = 2.5, 2 * S, 0.15, 3.0
+FALL, FALL_US, COLD_SHARE = 2.5, 2 * S, 0.15
+COLD_SLACK_FROM, COLD_SLACK, COLD_SLACK_FEW = 30, 2.0, 3.0
+SLACK = 3.0  # standard deviations of the calls within a limit
 LEASES_US = 8 * S  # two lease times: until then leases may be with members that are gone
 TRIERS = 2  # members that call a partner which is out, in any second: one, and the next
 PACED_US = 5 * S  # calls are counted over so long
@@ -23,6 +25,12 @@
 BACK_US = 16 * S  # a partner is tried so long after its return, also where it refuses one whose turn it is
 
 
+def cold_calls_most(allowed: float) -> float:
+    """The calls at which a cold partner falls, by the operators' page; `allowed`: what the settings allow."""
+    factor = COLD_SLACK if allowed >= COLD_SLACK_FROM else COLD_SLACK_FEW
+    return allowed + factor * allowed**0.5 + factor
+
+
 class SharingJudge(Judge):
     """Beside the rules of a federation: what its members share."""
 
@@ -286,7 +294,7 @@
         since = max(back, now - FALL_US)
         middle = (FALL_US if now - back < FALL_US else since + now - 2 * back) / 2 / cold_us
         bears = FALL * partner.rate * (COLD_SHARE + (1 - COLD_SHARE) * middle) * FALL_US / S
-        if len(load) > bears + SLACK * bears**0.5 + SLACK:
+        if len(load) > cold_calls_most(bears):
             told = sum(m in partner.saw for _, m in load)
             if 3 * told > 2 * len(load):
                 self.broken(
--- a/tests/simulation/test_sharing_seeds.py
+++ b/tests/simulation/test_sharing_seeds.py
@@ -1,6 +1,9 @@
 """One site of couriers that share, on the virtual loop, judged from outside."""
 
+import pytest
+
 from madderbeam.simulation.sharefaults import KINDS, Troubles
+from madderbeam.simulation.sharejudge import cold_calls_most
 from madderbeam.simulation.sharing import Sharing, play
 
 
@@ -26,3 +29,9 @@
         world = Sharing(seed, members=3, kinds=("told_and_gone",))
         world.after(world.heal_us - 2_500_000, KINDS["told_and_gone"], Troubles(world))
         assert not world.play().line
+
+
+@pytest.mark.parametrize("allowed, most", [(4, 13), (25, 43), (100, 122)])
+def test_a_cold_partner_falls_by_the_present_page(allowed, most):
+    # The judge allowed 3 times the root at every size: 133 calls in place of 122.
+    assert cold_calls_most(allowed) == most
