Standby: a copy in a former primary's folder has no marker of that time

Found by reading, before it was released; the test was seen to fail. The copy removes it, and the first header behind a takeover brings one of its own.

--- a/madderbeam/host/standby/copy.py
+++ b/madderbeam/host/standby/copy.py
@@ -9,6 +9,7 @@
 
 from madderbeam.journal.damage import SuspectMessages
 from madderbeam.journal.journal import Journal
+from madderbeam.journal.newest_marker import remove_marker
 from madderbeam.journal.records import frame
 from madderbeam.journal.recovery import read_folder
 from madderbeam.journal.segments import segment_name, segment_number
@@ -19,10 +20,14 @@
     """The segment files of the copy; data is only appended, never with a gap."""
 
     def __init__(self, disk: Disk, folder: str, sync: bool) -> None:
-        """Read the existing segments; OSError if that fails."""
+        """Read the existing segments; OSError if that fails.
+
+        A marker is of the time when this courier was a primary: the copied segments have other numbers.
+        """
         self.disk, self.folder, self.sync = disk, folder, sync
         self.sizes: dict[int, int] = {}
         self.digests: dict[int, int] = {}
+        remove_marker(disk, folder)
         for file in disk.names(folder):
             if number := segment_number(file):
                 data = disk.read(f"{folder}/{file}")
--- a/madderbeam/journal/newest_marker.py
+++ b/madderbeam/journal/newest_marker.py
@@ -29,6 +29,13 @@
     return max((int(match[1]) for match in matches if match), default=0)
 
 
+def remove_marker(disk: Disk, folder: str) -> None:
+    """Remove the folder's marker, since its segments are no longer those that it was written beside."""
+    for name in disk.names(folder):
+        if MARKER_NAME.fullmatch(name):
+            disk.unlink(f"{folder}/{name}")
+
+
 class NewestMarker:
     """Moves the marker of one folder forward."""
 
--- a/tests/standby/test_machines.py
+++ b/tests/standby/test_machines.py
@@ -266,6 +266,21 @@
         )
 
 
+def test_a_copy_in_the_folder_of_a_former_primary_is_not_taken_for_damaged():
+    # The marker named a segment of the former primary, with a higher number than any of the copy.
+    journal, disk, _ = open_journal()
+    journal.accept(message(1, journal))
+    journal.close()
+    records = bytes(disk.files["/state/segment-00000001.journal"])
+    disk.files = {"/state/newest-00000500.marker": bytearray()}
+    copy = JournalCopy(disk, "/state", False)
+    copy.write(1, 0, records)
+    copy.close()
+    again = open_journal(disk)[0]
+    assert sorted(again.pending) == [1]
+    assert not again.damage_count
+
+
 @pytest.mark.parametrize(
     "change,told",
     [
