Standby: that messages are possibly executed is synced where records are

Callers, with journal_sync on: behind a takeover from a copy that may lack records, then a power loss, unsafe messages that may have run at the old primary counted as untried and were sent once more. Change: it is told the setting. Test: the disk's calls with and without it; with the old call the sync case fails. Not played: a power loss itself, which the simulated disk does not have.

--- a/madderbeam/host/standby/copy.py
+++ b/madderbeam/host/standby/copy.py
@@ -71,9 +71,12 @@
             self.file, self.active = None, 0
 
 
-def mark_possibly_executed(disk: Disk, clock: Clock, folder: str, limit_bytes: int, is_prefix: bool) -> int:
+def mark_possibly_executed(
+    disk: Disk, clock: Clock, folder: str, limit_bytes: int, is_prefix: bool, sync: bool
+) -> int:
     """Record in the copy that each open message is possibly executed; returns how many there are.
 
+    `sync`: the record is synced to the disk, as the courier's own records are.
     A copy that `is_prefix` lacks only records written after its newest recorded time: missing attempts began
     at that time or later. Otherwise they began at the oldest recorded time or later.
     """
@@ -83,7 +86,7 @@
         for _, record in part.records
         if (time_s := _record_time(record))
     ]
-    journal = Journal(disk, clock, folder, limit_bytes)
+    journal = Journal(disk, clock, folder, limit_bytes, sync=sync)
     since_s = (max(times_s) if is_prefix else min(times_s)) if times_s else journal.wall()
     journal.suspects = SuspectMessages(journal.last_number, since_s, {})
     journal.files.start_new_segment()
--- a/madderbeam/host/standby/process.py
+++ b/madderbeam/host/standby/process.py
@@ -90,7 +90,12 @@
         service.copy.close()
         if takeover.may_lack_records:
             count = mark_possibly_executed(
-                ports.disk, ports.clock, config.state, config.disk_bytes, takeover.is_prefix
+                ports.disk,
+                ports.clock,
+                config.state,
+                config.disk_bytes,
+                takeover.is_prefix,
+                bool(config.sidecar and config.sidecar.sync),
             )
             log.warning("standby: each of %d open messages is treated as possibly executed", count)
             service.records.write([("over", "", False)])
--- a/tests/standby/test_machines.py
+++ b/tests/standby/test_machines.py
@@ -256,7 +256,7 @@
     journal.accept(message(2, journal))
     copy = JournalCopy(disk, "/state", False)
     copy.close()
-    assert mark_possibly_executed(disk, clock, "/state", 100_000, True) == 2
+    assert mark_possibly_executed(disk, clock, "/state", 100_000, True, False) == 2
     for _ in range(2):  # also after a further restart
         again = open_journal(disk)[0]
         assert (
@@ -266,6 +266,18 @@
         )
 
 
+@pytest.mark.parametrize("sync", [True, False])
+def test_that_messages_are_possibly_executed_is_synced_where_records_are(sync):
+    # It never was: a power loss right behind a takeover made unsafe messages untried ones again.
+    journal, disk, clock = open_journal()
+    journal.accept(message(1, journal))
+    journal.close()
+    calls = []
+    disk.operation = lambda name: calls.append(name) or False
+    mark_possibly_executed(disk, clock, "/state", 100_000, True, sync)
+    assert ("sync" in calls) is sync
+
+
 def test_a_copy_in_the_folder_of_a_former_primary_is_not_taken_for_damaged():
     # The marker named a segment of the former primary, with a higher number than any of the copy.
     journal, disk, _ = open_journal()
--- a/tests/standby/world.py
+++ b/tests/standby/world.py
@@ -407,7 +407,7 @@
             world.seen_events["took over" + (", doubt" if action.may_lack_records else "")] += 1
         self.copy.close()
         if action.may_lack_records:
-            mark_possibly_executed(self.disk, self.clock, "/state", LIMIT, action.is_prefix)
+            mark_possibly_executed(self.disk, self.clock, "/state", LIMIT, action.is_prefix, False)
             self.kept.write([("over", "", False)])
         self.role = "courier"
         self.journal = ReplicatedJournal(self.disk, self.clock, "/state", LIMIT, WINDOW_S, self.call_later)
