Quotas: a burst below the number of couriers is 1 each, not the default

Callers: with burst_messages = 3 for four couriers each let 100 pass at once, of a limit of 400 a second: the configured burst divided to 0, which stands for 'as many as one second allows'. Change: a configured burst is at least 1 at each courier, as the amount is. Test seen to fail without it.

--- a/madderbeam/quota/admission.py
+++ b/madderbeam/quota/admission.py
@@ -81,8 +81,8 @@
         amount = max(1, int(raw[name]) // divisor)
         reserved_amount = min(amount, int(reserved.get(name, 0)) // divisor)
         # Only limits per second have a configured burst; for hourly limits it is 0: the amount of an hour.
-        burst = int(raw.get(BURSTS.get(name, ""), 0)) // divisor
-        parsed.append(Limit(amount, burst, reserved_amount))
+        burst = int(raw.get(BURSTS.get(name, ""), 0))
+        parsed.append(Limit(amount, max(1, burst // divisor) if burst else 0, reserved_amount))
     return (parsed[0], parsed[1], parsed[2], parsed[3])
 
 
--- a/tests/quota/test_gate.py
+++ b/tests/quota/test_gate.py
@@ -56,6 +56,12 @@
     ]
 
 
+def test_a_burst_below_the_number_of_couriers_is_no_default():
+    # It divided to 0, which stands for one second's amount: 100 at once at each of four couriers.
+    limited = node("school", tenants=["choir"], limit={"messages_per_s": 400, "burst_messages": 3})
+    assert passes(gate(limited, couriers=4), "choir", 0) == 1
+
+
 def passes(g, tenant, now, most=1000, size=0, cls="notice", held=0):
     passed = 0
     while passed < most and g.admit(tenant, cls, size, held, now).passed:
