Quotas: saved usage that can't be read in part no longer starts its limits full

Callers: behind one malformed row of the saved usage, all hourly limits of the rows behind it started full, as if nothing had been used, and the next save made that lasting; so did all limits of a file that could not be read (one read error is enough), and the file's form was not checked. Cause: restore applied row by row until one raised; QuotaComponent logged that and saved at once. Change: malformed rows are counted and passed over; hourly limits without a row start empty then, the safe side that restore keeps for all else; so they do if the file is there and can't be read, after three tries, or has another form. A file that is not there, and nodes new in the configuration, start full as before.

--- a/madderbeam/host/quota.py
+++ b/madderbeam/host/quota.py
@@ -17,6 +17,9 @@
 
 # Interval of saves while messages pass; sooner if much of an hourly limit was used since the last save.
 SAVE_INTERVAL_S = 5.0
+STORED_FORM = 1  # version of the file's format
+READ_TRIES = 3  # of the file with a read error
+UNREADABLE: list[Any] = []  # a malformed row: it stands for those of a file that can't be read
 log = logging.getLogger(__name__)
 
 
@@ -68,9 +71,9 @@
         """Store the quota usage; a failure is logged only."""
         now_us = self.clock.monotonic_us()
         self.saved_at_us = now_us
-        # form: version of the file's format; at: wall clock in seconds
+        # at: wall clock in seconds
         data = json.dumps(
-            {"form": 1, "at": self.clock.wall(), "rows": self.quota_admission.dump(now_us)}
+            {"form": STORED_FORM, "at": self.clock.wall(), "rows": self.quota_admission.dump(now_us)}
         ).encode()
         try:
             atomic_file.replace(self.disk, self.path, data)
@@ -78,15 +81,23 @@
             log.error("quota: usage could not be stored: %s", error)
 
     def _load(self) -> None:
+        rows, elapsed_s = [UNREADABLE], 0.0
         try:
-            stored = json.loads(self.disk.read(self.path))
+            stored = json.loads(atomic_file.read(self.disk, self.path, READ_TRIES))
+            if stored["form"] != STORED_FORM:
+                raise ValueError(f"form {stored['form']}, where this version reads {STORED_FORM}")
             # If the wall clock has stepped back, the elapsed time is treated as 0.
-            elapsed = max(0.0, self.clock.wall() - float(stored["at"]))
-            self.quota_admission.restore(stored["rows"], int(elapsed * 1e6), self.clock.monotonic_us())
+            elapsed_s = max(0.0, self.clock.wall() - float(stored["at"]))
+            rows = list(stored["rows"])
         except FileNotFoundError:
             return
-        except (OSError, ValueError, KeyError, TypeError, IndexError) as error:
-            log.error("quota: %s: stored usage could not be restored completely: %r", self.path, error)
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            log.error(
+                "quota: %s: stored usage can't be read, hourly limits start empty: %r", self.path, error
+            )
+        malformed = self.quota_admission.restore(rows, int(elapsed_s * 1e6), self.clock.monotonic_us())
+        if malformed and rows != [UNREADABLE]:
+            log.error("quota: %s: %d rows can't be read, their limits start empty", self.path, malformed)
 
 
 def quota_path(state: str) -> str:
--- a/madderbeam/quota/admission.py
+++ b/madderbeam/quota/admission.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
@@ -28,6 +29,7 @@
 )
 
 FIELDS = ("messages_per_s", "bytes_per_s", "messages_per_h", "bytes_per_h")
+LEVELS_IN_ROW = {"pool": 1, "part": 4}  # of a saved row, by its kind
 BURSTS = {"messages_per_s": "burst_messages", "bytes_per_s": "burst_bytes"}
 # factor on the priority weight of a message that borrows, relative to the other pending ones
 BORROWED_WEIGHT = 0.25
@@ -280,11 +282,11 @@
                     for part in split.parts:
                         part.saved_level = part.level + part.reserved.level
 
-    def restore(self, rows: Iterable[Sequence[Any]], elapsed_us: int, now_us: int) -> None:
-        """Continue from rows that were saved `elapsed_us` ago.
+    def restore(self, rows: Iterable[Sequence[Any]], elapsed_us: int, now_us: int) -> int:
+        """Continue from rows that were saved `elapsed_us` ago; returns how many rows are malformed.
 
         It errs on the safe side: what may have been used since the save counts as used. Levels above the
-        current limits are cut, debts stay.
+        current limits are cut, debts stay. If a row is malformed, hourly limits without a row start empty.
         """
         for node in self.tree.nodes():  # usage of the last seconds is never saved: those buckets start empty
             for dimension, split in enumerate(node.splits):
@@ -294,23 +296,48 @@
                     for part in split.parts:
                         _set_part(split, part, 0, 0, 0, time_us)
         known = {(node.path, dimension): node for node in self.tree.nodes() for dimension in range(4)}
+        restored: set[tuple[str, int, str]] = set()
+        malformed = 0
         for row in rows:
-            named = known.get((row[0], row[1]))
-            if named is None:
+            try:
+                place = (str(row[0]), int(row[1]), str(row[2]))
+                levels = [int(level) for level in row[3:]]
+                if len(levels) < LEVELS_IN_ROW[place[2]]:
+                    raise ValueError("too few levels")
+            except (ValueError, KeyError, TypeError, IndexError):
+                malformed += 1
                 continue
-            split, part = named.splits[row[1]], named.parts[row[1]]
-            if row[2] == "pool" and split is not None:
-                split.advance(now_us)
-                maybe_used = split.capacity // SAVE_DIVISOR
-                split.pool = max(
-                    0, min(split.pool_capacity, int(row[3]) - maybe_used + split.unshared_rate * elapsed_us)
-                )
-            elif row[2] == "part" and part is not None and named.parent is not None:
-                above = named.parent.splits[row[1]]
-                assert above is not None
-                debt_max = part.debt_max if self.leased is None else self.leased.debt_max_of(above, part)
-                _restore_part(above, part, row, elapsed_us, now_us, debt_max)
+            if (named := known.get(place[:2])) is not None:
+                self._restore_row(named, place, levels, elapsed_us, now_us)
+                restored.add(place)
+        if malformed:
+            self._empty_hourly_limits(restored, now_us)
         self.mark_saved()
+        return malformed
+
+    def _empty_hourly_limits(self, restored: set[tuple[str, int, str]], now_us: int) -> None:
+        """Let the hourly limits without a restored row start empty."""
+        hourly = [n for n, (_, period) in enumerate(DIMENSIONS) if period == HOUR]
+        for node, dimension, kind in itertools.product(self.tree.nodes(), hourly, LEVELS_IN_ROW):
+            place = (node.path, dimension, kind)
+            if place not in restored:
+                self._restore_row(node, place, [0] * LEVELS_IN_ROW[kind], 0, now_us)
+
+    def _restore_row(
+        self, node: Node, place: tuple[str, int, str], levels: list[int], elapsed_us: int, now_us: int
+    ) -> None:
+        _, dimension, kind = place
+        split, part = node.splits[dimension], node.parts[dimension]
+        if kind == "pool" and split is not None:
+            split.advance(now_us)
+            maybe_used = split.capacity // SAVE_DIVISOR
+            level = levels[0] - maybe_used + split.unshared_rate * elapsed_us
+            split.pool = max(0, min(split.pool_capacity, level))
+        elif kind == "part" and part is not None and node.parent is not None:
+            above = node.parent.splits[dimension]
+            assert above is not None
+            debt_max = part.debt_max if self.leased is None else self.leased.debt_max_of(above, part)
+            _restore_part(above, part, levels, elapsed_us, now_us, debt_max)
 
     def usage(self, now_us: int) -> list[UsageRow]:
         """Usage by node, with all credits returned."""
@@ -329,13 +356,16 @@
 
 
 def _restore_part(
-    split: Split, part: Part, row: Sequence[Any], elapsed_us: int, now_us: int, debt_max: int
+    split: Split, part: Part, levels: Sequence[int], elapsed_us: int, now_us: int, debt_max: int
 ) -> None:
+    saved_level, saved_debt, saved_reserved, borrowed = levels[:4]
     time_us = split.advance(now_us)
     maybe_used = (part.capacity + part.reserved.capacity) // SAVE_DIVISOR
-    earned, saved_debt = part.rate * elapsed_us, int(row[4])
-    level = max(0, min(part.capacity, int(row[3]) + max(0, earned - saved_debt) - maybe_used))
-    reserved = max(0, min(part.reserved.capacity, int(row[5]) + part.reserved.rate * elapsed_us - maybe_used))
+    earned = part.rate * elapsed_us
+    level = max(0, min(part.capacity, saved_level + max(0, earned - saved_debt) - maybe_used))
+    reserved = max(
+        0, min(part.reserved.capacity, saved_reserved + part.reserved.rate * elapsed_us - maybe_used)
+    )
     debt = max(0, min(debt_max, saved_debt) - earned)
     _set_part(split, part, level, debt, reserved, time_us)
-    part.borrowed, part.repaid = int(row[6]), int(row[6]) - debt
+    part.borrowed, part.repaid = borrowed, borrowed - debt
--- a/tests/quota/test_gate.py
+++ b/tests/quota/test_gate.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import random
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import HealthCheck, given, settings
@@ -15,8 +16,10 @@
 
 from madderbeam.cli import main
 from madderbeam.config.check import check
+from madderbeam.host.quota import QuotaComponent
+from madderbeam.ports.real import RealClock, RealDisk
 from madderbeam.quota.admission import BORROWED_WEIGHT, QuotaAdmission, QuotaError
-from madderbeam.quota.split import HOUR_US
+from madderbeam.quota.split import HOUR_US, UNITS_EACH
 
 S = 1_000_000
 
@@ -62,6 +65,45 @@
     assert passes(gate(limited, couriers=4), "choir", 0) == 1
 
 
+@pytest.mark.parametrize("row", [["school/choir", 2], ["school/choir", 2, "part", "x", 0, 0, 0], None, 7])
+def test_a_malformed_row_leaves_the_other_limits_and_its_own_starts_empty(row):
+    # It ended the restore midway: the limits behind it started full, as if nothing had been used.
+    nodes = school(reserved=0, hour=400)
+    used = gate(*nodes)
+    assert passes(used, "band", 0, most=20) > 10
+    now = 3 * S
+    rows = used.dump(now)
+    first = next(i for i, saved in enumerate(rows) if saved[0].endswith("choir") and saved[2] == "part")
+    rows[first] = row
+    whole, again = gate(*nodes, now=now), gate(*nodes, now=now)
+    whole.restore(used.dump(now), 0, now)
+    assert again.restore(rows, 0, now) == 1
+    levels = {tuple(kept[:3]): kept[3:] for kept in again.dump(now)}
+    expected = {tuple(kept[:3]): kept[3:] for kept in whole.dump(now)}
+    spoilt = next(key for key in expected if key[0].endswith("choir") and key[2] == "part")
+    assert levels[spoilt][0] == 0 < expected[spoilt][0]
+    assert {k: v for k, v in levels.items() if k != spoilt} == {
+        k: v for k, v in expected.items() if k != spoilt
+    }
+
+
+@pytest.mark.parametrize("text", ["{", '{"form": 2, "at": 0, "rows": []}', '{"form": 1, "at": 0}'])
+def test_hourly_limits_start_empty_if_their_file_can_not_be_read(tmp_path, text):
+    # They started full, whatever had been used.
+    config = SimpleNamespace(
+        settings=SimpleNamespace(max_pending=10), seed=1, federation=None, state=str(tmp_path / "state")
+    )
+    raw = {"form": 1, "couriers": 1, "nodes": school(reserved=0, hour=400)}
+
+    def levels():
+        quota = QuotaComponent(config, raw, RealDisk(), RealClock(), lambda: 0)
+        return [row[3] for row in quota.quota_admission.dump(quota.clock.monotonic_us())]
+
+    assert all(level > 10 * UNITS_EACH for level in levels() if level)
+    (tmp_path / "state-quota.json").write_text(text)
+    assert all(level < UNITS_EACH for level in levels())  # the time since then has yielded a little
+
+
 def passes(g, tenant, now, most=1000, size=0, cls="notice", held=0):
     passed = 0
     while passed < most and g.admit(tenant, cls, size, held, now).passed:
