A soak of real processes: clients, faulty partners, signals in series and kills, by seed

The seed draws clients, rate, pipelining, pieces, a crowd, how endpoints answer (late, 429, 503, 500, reset, hang, broken off), drains, replaced endpoints, silent discovery, SIGHUPs, SIGTERMs again, kills 3.7 s behind SIGTERM or without notice, starts 0.6 s later. Not drawn yet: upgrades, a standby, members of a federation, connections that come up late; memory is not judged, nor that nobody serves nothing for 4 s.

--- /dev/null
+++ b/tests/soaking/soak_clients.py
@@ -0,0 +1,180 @@
+"""Clients of a soaked courier: they use open connections until these end, and note what they hear."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from loopback import Client
+from soak_world import Notes
+
+CLASSES = ("safe", "keyed", "unsafe", "ordered")
+LIFE_MS = (800, 4000)
+CONNECTIONS_MAX = 3  # of each client
+PIECE_PAUSE_S = 0.004
+CONNECT_PAUSE_S = 0.05
+
+
+@dataclass
+class Request:
+    """A message as it is handed in; again, on a new connection, if the first one ended without an answer."""
+
+    ident: str
+    kind: str
+    key: str
+    order: str
+    life_ms: int
+    sent_s: float = 0.0
+    answer: str = ""  # the line that came back
+    answered_s: float = 0.0
+    unanswered_ends: list[float] = field(default_factory=list)  # when a connection ended without an answer
+    is_written: bool = False
+
+    @property
+    def due_s(self) -> float:
+        """When its time is up."""
+        return self.sent_s + self.life_ms / 1000
+
+    def command(self, dest: int) -> bytes:
+        """Its bytes."""
+        fields = f"c={self.kind},t=t,d={self.life_ms},dest={dest}" + (f",k={self.key}" if self.key else "")
+        return Client.command(
+            b"MSG.PUT", self.order.encode(), self.ident.encode(), fields.encode(), self.ident.encode()
+        )
+
+
+class Connection:
+    """One connection and its requests that have no answer yet."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        self.waiting: deque[Request] = deque()
+        self.is_open = True
+        self.lock = asyncio.Lock()  # of writers: a request may be written in pieces
+
+
+class Clients:
+    """All clients of one run."""
+
+    def __init__(
+        self, notes: Notes, rng: random.Random, port: int, dests: tuple[int, ...], in_pieces: bool
+    ) -> None:
+        self.notes, self.rng, self.port, self.dests, self.in_pieces = notes, rng, port, dests, in_pieces
+        self.requests: list[Request] = []
+        self.connections: list[list[Connection]] = []
+        self.may_connect: Callable[[], bool] = lambda: True
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.count = 0
+
+    def spawn(self, coroutine) -> None:
+        """Run a task until `stop`."""
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def send_for(self, seconds: float, clients: int, rate_per_s: float, pipeline_max: int) -> None:
+        """Send messages at this rate from all clients together."""
+        self.connections = [[] for _ in range(clients)]
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            count = self.rng.randint(1, pipeline_max)
+            await asyncio.sleep(self.rng.expovariate(rate_per_s / count))
+            mine = self.rng.choice(self.connections)
+            self.spawn(self._send(mine, [self._request() for _ in range(count)]))
+
+    def _request(self) -> Request:
+        self.count += 1
+        kind = self.rng.choice(CLASSES)
+        ident = f"{self.count:016x}"
+        key = f"key{self.count:013x}" if kind == "keyed" else ""
+        order = f"{self.rng.randint(1, 4):016x}" if kind == "ordered" else "0" * 16
+        return Request(ident, kind, key, order, self.rng.randint(*LIFE_MS))
+
+    async def _send(self, mine: list[Connection], requests: list[Request]) -> None:
+        connection = await self._connection(mine)
+        if connection is None:
+            return
+        await self._write(connection, requests)
+
+    async def _connection(self, mine: list[Connection]) -> Connection | None:
+        """An open connection of this client, a new one if there is none; None if that is refused."""
+        mine[:] = [connection for connection in mine if connection.is_open]
+        if mine and (len(mine) >= CONNECTIONS_MAX or self.rng.random() < 0.9):
+            return self.rng.choice(mine)
+        connection = await self._connect()
+        if connection is not None:
+            mine.append(connection)
+        return connection
+
+    async def _connect(self) -> Connection | None:
+        if not self.may_connect():
+            return None
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        except OSError:
+            await asyncio.sleep(CONNECT_PAUSE_S)
+            return None
+        connection = Connection(reader, writer)
+        self.spawn(self._read(connection))
+        return connection
+
+    async def _write(self, connection: Connection, requests: list[Request]) -> None:
+        async with connection.lock:
+            await self._write_alone(connection, requests)
+
+    async def _write_alone(self, connection: Connection, requests: list[Request]) -> None:
+        if not connection.is_open:
+            return
+        now = time.monotonic()
+        data = b""
+        for request in requests:
+            request.sent_s = now
+            connection.waiting.append(request)
+            if not request.unanswered_ends:
+                self.requests.append(request)
+            data += request.command(self.dests[int(request.ident, 16) % len(self.dests)])
+        with contextlib.suppress(ConnectionError):
+            if self.in_pieces:
+                cut = self.rng.randrange(1, len(data))
+                connection.writer.write(data[:cut])
+                await asyncio.sleep(PIECE_PAUSE_S)
+                data = data[cut:]
+            connection.writer.write(data)
+            for request in requests:
+                request.is_written = True
+            await connection.writer.drain()
+
+    async def _read(self, connection: Connection) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                line = (await connection.reader.readuntil(b"\r\n")).decode().strip()
+                if not connection.waiting:
+                    self.notes.note(f"an answer to nothing: {line}")
+                    continue
+                request = connection.waiting.popleft()
+                request.answer, request.answered_s = line, time.monotonic()
+                self.notes.note(f"{request.ident} {request.kind} is answered {line}")
+        connection.is_open = False
+        connection.writer.close()
+        now = time.monotonic()
+        again = []
+        for request in connection.waiting:
+            self.notes.note(f"{request.ident} {request.kind} gets no answer: its connection has ended")
+            request.unanswered_ends.append(now)
+            if len(request.unanswered_ends) == 1 and request.is_written:
+                again.append(request)
+        if again and (new := await self._connect()) is not None:
+            await self._write(new, again)
+
+    async def stop(self) -> None:
+        """End all connections."""
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for connection in [connection for mine in self.connections for connection in mine]:
+            connection.writer.close()
--- /dev/null
+++ b/tests/soaking/soak_scenario.py
@@ -0,0 +1,132 @@
+"""What happens in one run of the soak, drawn from its seed."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+from loopback import settings
+
+ACTIVE_S = 11.0  # clients send and signals come so long
+KILL_AFTER_S = 3.7  # SIGKILL comes so long after SIGTERM
+RESTART_AFTER_S = 0.6  # the next start after SIGKILL
+KEY_WINDOW_US = 1_000_000
+DRAIN_GRACE_US = 2_000_000
+
+
+class Mood(Enum):
+    """How an endpoint answers a call."""
+
+    DONE = "200"
+    LATE = "200 after a while"
+    FULL = "429 with Retry-After"
+    OVERLOADED = "503"
+    ERROR = "500"
+    RESET = "reset"
+    HANG = "no answer"
+    BROKEN = "an answer that breaks off"
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the message may have taken effect."""
+        return self not in (Mood.FULL, Mood.OVERLOADED)
+
+
+class Step(Enum):
+    """What is done to the courier or its list of endpoints."""
+
+    HANGUP = "SIGHUP"
+    RESTART = "SIGTERM, SIGKILL, start"
+    KILL = "SIGKILL, start"
+    DRAIN = "an endpoint drains"
+    REPLACE = "an endpoint is replaced"
+    SILENCE = "discovery is silent for a while"
+
+
+@dataclass(frozen=True)
+class Event:
+    """A step and when it begins. `hangups`, `again`: SIGHUPs and another SIGTERM, behind a SIGTERM (s)."""
+
+    at_s: float
+    step: Step
+    seconds: float = 0.0
+    hangups: tuple[float, ...] = ()
+    again: float = 0.0
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """One run."""
+
+    seed: int
+    clients: int
+    rate_per_s: float
+    pipeline_max: int
+    in_pieces: bool
+    crowd: int
+    sockets: int
+    moods: dict[Mood, float]
+    events: tuple[Event, ...]
+
+    def settings(self) -> dict[str, object]:
+        """The courier's settings."""
+        raw = settings(contract__drainGraceUs=DRAIN_GRACE_US)
+        raw["classes"][1]["keyTtlUs"] = KEY_WINDOW_US
+        raw["classes"].append(
+            {
+                "name": "ordered",
+                "goalTimeUs": 1_000_000,
+                "deadlineUs": 6_000_000,
+                "idempotency": "read_like",
+                "sequential": True,
+            }
+        )
+        raw["contract"]["keyRestUs"] = 200_000
+        return raw
+
+
+def draw(seed: int) -> Scenario:
+    """The run of this seed."""
+    rng = random.Random(f"soak {seed}")
+    is_crowded = rng.random() < 0.2
+    sockets = rng.choice((96, 160)) if is_crowded else 512
+    return Scenario(
+        seed,
+        clients=rng.randint(2, 8),
+        rate_per_s=rng.choice((20.0, 40.0, 80.0)),
+        pipeline_max=rng.choice((1, 1, 4, 12)),
+        in_pieces=rng.random() < 0.3,
+        crowd=sockets if is_crowded else 0,
+        sockets=sockets,
+        moods=_moods(rng),
+        events=tuple(_events(rng)),
+    )
+
+
+def _moods(rng: random.Random) -> dict[Mood, float]:
+    shares = dict.fromkeys(Mood, 0.0)
+    shares[Mood.LATE] = 0.2
+    for mood in rng.sample(list(Mood)[2:], rng.randint(1, 4)):
+        shares[mood] = rng.choice((0.02, 0.1, 0.2))
+    shares[Mood.DONE] = max(0.2, 1.0 - sum(shares.values()))
+    return shares
+
+
+def _events(rng: random.Random) -> list[Event]:
+    """One or two restarts or kills, in between which the rest happens."""
+    events = []
+    at_s = rng.uniform(0.8, 2.5)
+    while at_s < ACTIVE_S - 1:
+        if rng.random() < 0.6:
+            behind = [rng.uniform(-0.05, 3.0) for _ in range(rng.choice((0, 0, 1, 2)))]
+            again = rng.uniform(0.01, 3.0) if rng.random() < 0.3 else 0.0
+            events.append(Event(at_s, Step.RESTART, 0.0, tuple(sorted(behind)), again))
+            at_s += KILL_AFTER_S + RESTART_AFTER_S + rng.uniform(0.5, 3.0)
+        else:
+            events.append(Event(at_s, Step.KILL))
+            at_s += RESTART_AFTER_S + rng.uniform(0.3, 3.0)
+    for step in (Step.HANGUP, Step.DRAIN, Step.REPLACE, Step.SILENCE):
+        for _ in range(rng.choice((0, 0, 1, 2))):
+            events.append(Event(rng.uniform(0.3, ACTIVE_S - 1), step, rng.uniform(1.0, 4.0)))
+    return sorted(events, key=lambda event: event.at_s)
