A restart reports a message whose time is over as undeliverable, as may have been done

Callers were told 'may have run', then 'never ran, come again', of one message. Cause: the disk was full until the message's time was over; then its outcome is reported without a record, always as undeliverable (completions.py). The process was killed, and the next one found the message without an outcome; a publication's restore judged it anew by its attempts: none, so deferred. Change: a message whose time is over as it is restored is completed as undeliverable, ahead of all who might claim it. Why that is enough: an outcome goes out without a record only behind the message's time. A courier without a federation did so already by its timer.

--- a/madderbeam/host/host.py
+++ b/madderbeam/host/host.py
@@ -173,6 +173,10 @@
             )
             self.completions.complete(message, "undeliverable", 0)
             return
+        if self.journal.wall() >= message.deadline_s:
+            # The process before may have reported this already: without a record, if the disk was full.
+            self.completions.complete(message, "undeliverable", 0)
+            return
         if not any(claims(message) for claims in self.restore_handlers):
             self.events.append(self.admission.arrival_event(message, restored=True))
         self.completions.start_deadline_timer(message)
--- a/tests/simulation/test_federation_seeds.py
+++ b/tests/simulation/test_federation_seeds.py
@@ -22,3 +22,8 @@
 def test_what_came_while_a_process_stood_still_does_not_end_its_question():
     report = play(118)  # paused amid its first question, whose answers wait in its sockets
     assert {"pause", "wipe"} <= set(report.kinds) and not report.line
+
+
+def test_a_restart_reports_a_message_whose_time_is_over_as_the_process_before_may_have_done():
+    # On a full disk a message was reported undeliverable, without a record, and by the next process deferred.
+    assert not play(72174).line
