Simulation: a bare refusal is right for a message whose key was handed in again

Cause: by the trace a client hands two messages of one key in within 4.2 ms, on two connections; both come within one dispatch cycle, and the one read first is withdrawn, as its client has given it up. The rule for notices knows this case; the rule for answers did not.

--- a/madderbeam/simulation/checker.py
+++ b/madderbeam/simulation/checker.py
@@ -217,7 +217,15 @@
         return kind
 
     def _no_time(self, m: Handed, what: str) -> None:
-        """A refusal with no time to come back: one is owed where the message has some life left."""
+        """A refusal with no time to come back: one is owed where the message has some life left.
+
+        None is where the client has handed its key in again: it has given this one up.
+        """
+        if m.key and any(
+            other is not m and other.key == m.key and other.life is m.life and other.read_us >= m.read_us >= 0
+            for other in self.handed.values()
+        ):
+            return
         left = m.until_us - self.scheduler.now_us - SLACK - (QUEUED if m.first else 0)
         if 0 < self.s.max_retry_after_us < left:
             self.broken(
--- a/tests/simulation/test_mended.py
+++ b/tests/simulation/test_mended.py
@@ -13,7 +13,7 @@
 from madderbeam.journal.recovery import FORMAT_1_FILE
 from madderbeam.journal.steady_clock import BOOT_ID_PATH
 from madderbeam.policy.events import AttemptResult
-from madderbeam.simulation.checker import Handed
+from madderbeam.simulation.checker import Handed, Life
 from madderbeam.simulation.clients import command
 from madderbeam.simulation.loop import ProcessLoop, Scheduler
 from madderbeam.simulation.network import Link, SimNetwork
@@ -163,3 +163,18 @@
     report = world.play()
     assert report.violation is None, report.line
     assert out == [{}]
+
+
+@pytest.mark.parametrize("other_key, is_broken", [("key", False), ("another", True)])
+def test_a_bare_refusal_is_right_for_a_message_whose_key_was_handed_in_again(other_key, is_broken):
+    # Two messages of one key came within one dispatch cycle; the one read first is given up (seed 72170).
+    world = staged(Script(seed=1, couriers=1, dests=1, rate_per_s=0, seconds=1.0))
+    life = Life("n0", 1)
+    older = Handed("older", 1, 1, "key", "", life, 0, 9_000_000, read_us=10)
+    newer = Handed("newer", 1, 1, other_key, "", life, 0, 9_000_000, read_us=11)
+    for message in (older, newer):
+        world.checker.put(message)
+    found = []
+    world.checker._broken = found.append
+    world.checker.said(older, b"-BUSY")
+    assert bool(found) is is_broken
