Federation: a member announces no count of votes that its disk does not have

Operators: behind a full disk and a kill a voter took its own folder for an older one, stopped voting and refused every table until told POST /federation/trust, though nothing was lost. Cause: the acceptor counts a vote, then its record is written. Where that fails the reply is not sent, but right behind the failure, and at each new link, the mark is announced with the count as it is in memory. Others store it; behind a kill the count on disk is lower, which is what a rolled back folder looks like. Change: from a failed write on until its mark is confirmed, a member writes its votes again ahead of each announcement, in the same list of actions, so that the announcement falls away if that fails too; it announces by the timer, since at once the write would fail again without end.

--- a/madderbeam/federation/consensus/agreement.py
+++ b/madderbeam/federation/consensus/agreement.py
@@ -64,6 +64,7 @@
         self.outbox = Outbox(local_member)
         self.agreed_tables = AgreedTables(self.outbox, records, table)
         self.acceptor = Acceptor(incarnation, records.get(("vote", "")))
+        self._are_votes_uncertain = False  # the acceptor's state may not be on disk: a write has failed
         self.rollback_detector = RollbackDetector(self.outbox, incarnation, records)
         self.proposals = Proposals(self.outbox, records)
         self.participant = Participant(
@@ -141,6 +142,7 @@
             case LinkUp(member):
                 self.outbox.send(member, self.catch_up.latest_decided())
                 if self._announces_mark and member in self.base.voters:
+                    self._persist_uncertain_votes()
                     self.rollback_detector.announce_to(member, self.acceptor.mark)
             case RollbackDetected(seen):
                 self.rollback_detector.distrust(seen)
@@ -230,7 +232,8 @@
         self.participant.rearm()
         self.failover.rearm()
         self.catch_up.rearm()
-        self._announce_mark()
+        self._are_votes_uncertain = True
+        self.outbox.timer(self.settings.resend_interval_us, "greet")  # at once it would fail again
 
     def _on_proposed(self, table: Table) -> None:
         if self.rollback_detector.distrusted is not None:
@@ -272,6 +275,8 @@
                 self.rollback_detector.on_mark_announced(member, message, self.base.voters)
             case m.MarkConfirmed():
                 self.rollback_detector.on_mark_confirmed(member, message)
+                if message.mark == self.acceptor.mark:
+                    self._are_votes_uncertain = False
             case m.RollbackReported(mark):
                 votes_recorded = self.rollback_detector.on_rollback_reported(member, mark, self.acceptor.mark)
                 self.acceptor.votes_recorded = max(self.acceptor.votes_recorded, votes_recorded)
@@ -435,10 +440,19 @@
         """
         if not self._announces_mark:
             return
+        self._persist_uncertain_votes()
         self.rollback_detector.announce(self.acceptor.mark, self.base.voters)
         if not self.may_vote:
             self.outbox.timer(self.settings.resend_interval_us, "greet")
 
+    def _persist_uncertain_votes(self) -> None:
+        """Write the votes again, ahead of an announcement, if an earlier write may have failed.
+
+        A mark that was announced and is not on disk would make the next incarnation seem rolled back.
+        """
+        if self._are_votes_uncertain and self.acceptor.votes_recorded:
+            self.outbox.persist("vote", "", self.acceptor.record())
+
     @property
     def _announces_mark(self) -> bool:
         return self.local_member in self.base.voters and self.rollback_detector.distrusted is None
--- a/tests/simulation/test_federation_seeds.py
+++ b/tests/simulation/test_federation_seeds.py
@@ -1,5 +1,7 @@
 """Federations on the virtual loop: seeds of sites, members, partners and tables, judged from outside."""
 
+import pytest
+
 from madderbeam.simulation.federation import play
 
 
@@ -27,3 +29,10 @@
 def test_a_restart_reports_a_message_whose_time_is_over_as_the_process_before_may_have_done():
     # On a full disk a message was reported undeliverable, without a record, and by the next process deferred.
     assert not play(72174).line
+
+
+@pytest.mark.parametrize("seed", [72533, 72968])
+def test_a_member_whose_vote_was_not_written_is_not_taken_for_rolled_back_after_a_restart(seed):
+    # On a full disk it announced a count of votes that was not on its disk.
+    report = play(seed)
+    assert "disk_full" in report.kinds and not report.line
