Federation: a relay that lost its folder does not call an unsafe message as if it were new

Callers: an unsafe message ran twice at a partner. Cause, by the rows on the mesh and the records: the origin had recorded that the message went to m2 at start 1. m2 came back with an empty folder, heard of its own later start and went on as start 2, which is 'not older' than 1, so the origin sent it there again; m2 had no record, turned it away as never seen, and the origin gave it to m1. Change: a member that finds its state rolled back completes unsafe entries without a record as UNKNOWN for the longest deadline of a class, recorded on disk. Nobody else can know: starts count on in a new folder as well.

--- a/madderbeam/host/federation/component.py
+++ b/madderbeam/host/federation/component.py
@@ -331,7 +331,7 @@
         self.is_started = True
         now = self.host.clock()
         if self.store.damaged:
-            self.federation_runner.post_event(RollbackDetected(self.incarnation, self.incarnation))
+            self._rollback_detected(RollbackDetected(self.incarnation, self.incarnation))
         self.federation_runner.run(self.federation_machine.start(now))
         self.membership_runner.run(self.membership.start(now))
         self.on_list_changed()
@@ -407,7 +407,7 @@
                 runner.post_event(event)
             return
         if isinstance(event, mesh_events.LaterIncarnationSeen):
-            self.federation_runner.post_event(RollbackDetected(event.seen, self.incarnation))
+            self._rollback_detected(RollbackDetected(event.seen, self.incarnation))
             return
         try:
             decoded = DECODERS[channel, type(event)](event)
@@ -466,7 +466,7 @@
             Disseminate: self.membership_runner.post_event,
             IncarnationRaised: self._incarnation_raised,
             PauseDetected: self._pause_detected,
-            RollbackDetected: self.federation_runner.post_event,
+            RollbackDetected: self._rollback_detected,
             SendMessage: self._send_message,
             TableInForce: self._table_in_force,
             CheckTable: self._check_table,
@@ -523,6 +523,11 @@
             self.leases_runner.post_event(action)
         self.serving.repost_list()  # lists destinations that the pause check had hidden
 
+    def _rollback_detected(self, event: RollbackDetected) -> None:
+        """This member's state is older than what others have seen of it."""
+        self.custody.history_lost()
+        self.federation_runner.post_event(event)
+
     def _incarnation_raised(self, action: IncarnationRaised) -> None:
         """Use a raised incarnation in everything that is sent from now on."""
         if action.incarnation != self.incarnation:
--- a/madderbeam/host/federation/custody.py
+++ b/madderbeam/host/federation/custody.py
@@ -27,6 +27,7 @@
     CustodyAccepted,
     CustodyRejected,
     DeliveryCompleted,
+    DeliveryIdempotency,
     Expand,
     LocalSiteCompleted,
     OutcomesPersisted,
@@ -40,6 +41,7 @@
 IDLE_AFTER_CHECKS = 25  # consecutive checks with the same, sufficient credit until the interval is longer
 IDLE_CREDIT_CHECK_S = 1.6  # interval after that; each entry that arrives also updates the credit
 RESERVED_MESSAGES = 16  # pending messages withheld from the credit, for messages that are not relayed
+HISTORY_LOST = "lost"  # kind of the record until when (wall ms) an entry may be known to a lost state only
 CLIENT_WAITS = "home"  # kind of the record that a client of this courier also waits for a relayed message
 TAKE_BACK_RETRY_US = 100_000  # retry delay of a returned message whose destination is not served yet
 MIN_RESUBMIT_S = 0.05  # minimum delay before a rejected delivery is submitted again
@@ -126,6 +128,7 @@
         self.stream_number, self.last_sequence = incarnation.start << 32 | 1, 0
         self.own_publications: dict[int, Publication] = {}  # sequence number -> publication
         self.posted_credit, self.unchanged_checks = Credit(-1, -1), 0
+        self.history_lost_until_ms = int(store.map.get((HISTORY_LOST, ""), 0))
         self.closed = False
         for name, dests, single in custodian.open_records:
             for dest in dests:
@@ -148,6 +151,25 @@
             self.post_event(RestoredDeliveries(name, tuple(pending)))
         self._check_credit()
 
+    def history_lost(self) -> None:
+        """This member's state was rolled back: it may have accepted entries that it does not know.
+
+        For the longest deadline of a class, a non-idempotent entry without a record is completed as UNKNOWN:
+        its origin may send it again to this member, which would take it for new.
+        """
+        if self._is_history_lost():
+            return
+        longest_us = max((cls.deadline_us for cls in self.host.settings.classes), default=0)
+        until_ms = int(self.host.journal.wall() * 1000) + longest_us // 1000
+        self.history_lost_until_ms = until_ms
+        try:
+            self.store.write([(HISTORY_LOST, "", self.history_lost_until_ms)])
+        except OSError as error:
+            log.error("federation: recording that the state was rolled back failed: %s", error)
+
+    def _is_history_lost(self) -> bool:
+        return int(self.host.journal.wall() * 1000) < self.history_lost_until_ms
+
     def _add_delivery(self, ident: str, name: str, dest: int) -> None:
         self.deliveries.setdefault(ident, set()).add((name, dest))
 
@@ -218,10 +240,22 @@
         if self.unchanged_checks >= IDLE_AFTER_CHECKS:
             self._update_credit()
         work = Expansion(action.publication, set(action.dests))
+        is_repeatable = action.publication.idempotency is not DeliveryIdempotency.NON_IDEMPOTENT
+        if not is_repeatable and self._is_history_lost():
+            self._complete_as_unknown(work)
+            return
         for dest in action.dests:
             self._submit(work, dest)
         self.check_expansion(work)
 
+    def _complete_as_unknown(self, expansion: Expansion) -> None:
+        name = expansion.publication.name
+        log.warning("federation: %s may have been delivered before this member's state was lost", name)
+        for dest in sorted(expansion.unanswered):
+            self.post_event(DeliveryCompleted(name, dest, Result.UNKNOWN))
+        expansion.unanswered.clear()
+        self.check_expansion(expansion)
+
     def _submit(self, expansion: Expansion, dest: int) -> None:
         publication, journal = expansion.publication, self.host.journal
         ident = delivery_id(publication, dest)
--- a/tests/simulation/test_federation_seeds.py
+++ b/tests/simulation/test_federation_seeds.py
@@ -36,3 +36,9 @@
     # On a full disk it announced a count of votes that was not on its disk.
     report = play(seed)
     assert "disk_full" in report.kinds and not report.line
+
+
+def test_an_unsafe_message_is_not_relayed_again_once_its_relay_has_lost_its_folder():
+    # The relay had called with it, came back without its records, and turned it away as never seen.
+    report = play(72173)
+    assert "wipe" in report.kinds and not report.line
