--- a/madderbeam/host/federation/custody.py
+++ b/madderbeam/host/federation/custody.py
@@ -76,11 +76,15 @@
         self._record(lambda: self.expansion.retry_after_us.update({self.dest: wait_us}))
 
     def failed(self, why: str = "failed") -> None:
-        """The delivery is not accepted and is not submitted again; it is reported as never executed.
+        """The delivery is not submitted again.
 
-        `ReplyHandle.failed` makes no promise about the effect: if a standby did not acknowledge the record of
-        the acceptance, that record may survive.
+        It is reported as never executed only if the journal does not have it. Otherwise (a dispatch cycle
+        failed behind its acceptance) it is in custody, and its outcome follows.
         """
+        ident = delivery_id(self.expansion.publication, self.dest)
+        if ident in self.custody.host.journal.numbers_by_id:
+            self.taken()
+            return
         self._record(lambda: self.custody.reject_delivery(self.expansion, self.dest, why))
 
     def _record(self, update: Callable[[], None]) -> None:
