Simulation: who was answered ahead of two others' refusals may hold back

Cause: by a trace of holds and answers the partner refuses m4 and m7, and m1's last answer came at 7.84 s, ahead of both; m4 and m7 report the outage at 8.72 s, and m1 holds back from then on, as the design says for all that were not answered since. The judge counted an answer within a second before its look, also one ahead of the refusals.

--- a/tests/simulation/test_sharing_seeds.py
+++ b/tests/simulation/test_sharing_seeds.py
@@ -35,3 +35,8 @@
 def test_a_cold_partner_falls_by_the_present_page(allowed, most):
     # The judge allowed 3 times the root at every size: 133 calls in place of 122.
     assert cold_calls_most(allowed) == most
+
+
+def test_a_member_may_hold_back_from_a_partner_that_two_others_report_out_since_its_last_answer():
+    # Rule S4 counted each answer within a second, also one ahead of the two reports.
+    assert not play(70073).line
