--- a/tests/soaking/soak_judge.py
+++ b/tests/soaking/soak_judge.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from soak_clients import Request
-from soak_scenario import DRAIN_GRACE_US, KEY_WINDOW_US, Scenario
+from soak_scenario import DRAIN_GRACE_US, KEY_WINDOW_US, MEMORY_MB, Scenario
 from soak_world import Call, Notes
 
 END_SLACK_S = 0.3  # behind a message's time, until which it is delivered or reported
@@ -118,6 +118,8 @@
                 yield f"limits: ready after {seconds:.1f} s"
         if self.course.descriptors_max > self.scenario.sockets:
             yield f"limits: {self.course.descriptors_max} descriptors"
+        if self.course.memory_mb_max > MEMORY_MB:
+            yield f"limits: {self.course.memory_mb_max:.0f} MB"
 
     def _drains(self) -> Iterator[str]:
         grace_s = DRAIN_GRACE_US / 1e6 + HELD_UP_S + self.slack_s
--- a/tests/soaking/soak_run.py
+++ b/tests/soaking/soak_run.py
@@ -16,7 +16,16 @@
 from loopback import ROOT, Client, Fleet
 from soak_clients import Clients
 from soak_judge import Course, Judge
-from soak_scenario import ACTIVE_S, KILL_AFTER_S, RESTART_AFTER_S, Event, Scenario, Step, draw
+from soak_scenario import (
+    ACTIVE_S,
+    KILL_AFTER_S,
+    MEMORY_MB,
+    RESTART_AFTER_S,
+    Event,
+    Scenario,
+    Step,
+    draw,
+)
 from soak_world import MoodyEndpoint, Notes, NotingDiscovery
 
 DESTS = {7: 3, 8: 2}  # endpoints of each destination
@@ -57,7 +66,7 @@
     """The fleet of one run, with one courier."""
 
     def __init__(self, folder: Path, scenario: Scenario, plant: str = "") -> None:
-        super().__init__(folder, scenario.settings(), sockets=scenario.sockets)
+        super().__init__(folder, scenario.settings(), sockets=scenario.sockets, memory_mb=MEMORY_MB)
         self.scenario, self.plant = scenario, plant
         self.notes, self.course = Notes(), Course()
         self.rng = random.Random(f"run {scenario.seed}")
@@ -210,6 +219,9 @@
             with contextlib.suppress(OSError):
                 count = len(os.listdir(f"/proc/{self.process.pid}/fd"))
                 self.course.descriptors_max = max(self.course.descriptors_max, count)
+                status = Path(f"/proc/{self.process.pid}/status").read_text()
+                peak_kb = int(status.partition("VmHWM:")[2].split()[0])
+                self.course.memory_mb_max = max(self.course.memory_mb_max, peak_kb / 1024)
             if self.process.returncode is not None and not self.is_ending:
                 self.course.crashes.append(f"crash: it ends with {self.process.returncode}")
                 self.is_ending = True
--- a/tests/soaking/soak_scenario.py
+++ b/tests/soaking/soak_scenario.py
@@ -13,6 +13,7 @@
 RESTART_AFTER_S = 0.6  # the next start after SIGKILL
 KEY_WINDOW_US = 1_000_000
 DRAIN_GRACE_US = 2_000_000
+MEMORY_MB = 64  # of the courier; the platform's least is 32
 
 
 class Mood(Enum):
