Docstrings of ten modules of transport, which the linter now requires

accepting, control, dialing, local and resp get their missing ones; descriptors, passing, reading, reply_handle and values had them all.

--- a/madderbeam/transport/accepting.py
+++ b/madderbeam/transport/accepting.py
@@ -66,6 +66,7 @@
             self.network.on_readable(self.sock, self._accept)
 
     def close(self) -> None:
+        """Stop accepting and release the listening socket."""
         if self.resting is not None:
             self.resting.cancel()
         if self.sock is not None:
--- a/madderbeam/transport/control.py
+++ b/madderbeam/transport/control.py
@@ -32,6 +32,7 @@
     text: str = ""
 
     def encode(self) -> bytes:
+        """The response as it is sent."""
         body = self.text.encode()
         head = (
             f"HTTP/1.1 {self.status} {HTTPStatus(self.status).phrase}\r\nContent-Type: text/plain\r\n"
@@ -56,12 +57,15 @@
         self.parser = httptools.HttpRequestParser(self)
 
     def on_url(self, url: bytes) -> None:
+        """A part of the target was received."""
         self.target += url
 
     def on_body(self, data: bytes) -> None:
+        """A part of the body was received."""
         self.body += data
 
     def on_message_complete(self) -> None:
+        """The call was received in full."""
         self.whole = True
 
 
@@ -117,6 +121,7 @@
             self.close()
 
     def close(self) -> None:
+        """Close the connection; the caller is forgotten."""
         self.timer.cancel()
         self.request.parser = None  # they hold each other: the collector would have to find them
         self.network.off_readable(self.sock)
@@ -146,6 +151,7 @@
 
     @property
     def sock(self) -> Socket | None:
+        """The listening socket, None if there is none."""
         return self.accepting.sock
 
     def _took(self, sock: Socket) -> None:
@@ -172,6 +178,7 @@
             return Answer(500, "internal error\n")
 
     def close(self) -> None:
+        """Stop listening and close all callers' connections."""
         self.accepting.close()
         for caller in list(self.callers):
             caller.close()
--- a/madderbeam/transport/dialing.py
+++ b/madderbeam/transport/dialing.py
@@ -81,4 +81,5 @@
         self.close()
 
     def close(self) -> None:
+        """Close the connection."""
         raise NotImplementedError
--- a/madderbeam/transport/local.py
+++ b/madderbeam/transport/local.py
@@ -57,6 +57,7 @@
         """There is no discovery that could move."""
 
     def stop(self) -> None:
+        """Stop the timer."""
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
@@ -148,6 +149,7 @@
         """There is no discovery that could move."""
 
     def stop(self) -> None:
+        """Stop writing and close the file; lines that are not written yet are not."""
         if self.timer is not None:
             self.timer.cancel()
         if self.file is not None:
--- a/madderbeam/transport/resp.py
+++ b/madderbeam/transport/resp.py
@@ -44,6 +44,7 @@
         return self.missing > 0 or self.at < len(self.buffer)
 
     def feed(self, data: bytes | memoryview) -> None:
+        """Add received bytes; what was read already is dropped."""
         if self.at == len(self.buffer):
             self.buffer = bytearray(data)
         else:
