Simulation: rule S4 counts calls that a partner fails or lets hang as witnesses

Cause: the partner lets some calls hang; two members, whose own calls all hung, report the outage, and those that were not answered since hold back, as designed. The judge knew of members that were refused alone.

--- a/madderbeam/simulation/sharing.py
+++ b/madderbeam/simulation/sharing.py
@@ -17,6 +17,7 @@
 from madderbeam.simulation.sharefaults import draw
 from madderbeam.simulation.sharejudge import COLD_SHARE, FALL, FALL_US, FLOOD, SharingJudge
 
+FAILING_MOODS = ("fails", "resets", "hangs")
 OUTAGE_US = 1_500_000  # a partner that was out for so long is cold when it returns
 
 
@@ -50,7 +51,10 @@
         return self.out_us >= 0 or member in self.refuses
 
     def mood(self, call: Call) -> str:
-        return "resets" if self.turns_away(call.member) else super().mood(call)
+        mood = "resets" if self.turns_away(call.member) else super().mood(call)
+        if mood in FAILING_MOODS:
+            self.world.judge.fails(self, call.member)
+        return mood
 
     def accept(self, stream: Stream) -> str | Line:
         member = self.world.by_host[stream.network.host]
