--- a/tests/simulation/test_sharing_seeds.py
+++ b/tests/simulation/test_sharing_seeds.py
@@ -41,3 +41,13 @@
 def test_a_member_may_hold_back_from_a_partner_that_fails_two_others_since_its_last_answer(seed):
     # Rule S4 counted each answer within a second, also one ahead of the two reports, or of calls that hung.
     assert not play(seed).line
+
+
+def test_a_restart_ends_the_wait_that_the_process_before_was_told():
+    # Rule S3 held a member to a wait of its own earlier process, which the protocol ends with it.
+    assert not play(72984).line
+
+
+def test_news_of_the_last_messages_may_stand_at_the_end():
+    # Rule S6 wanted all news over, also of a return that only the run's last messages showed.
+    assert not play(72438).line
