--- a/tests/simulation/test_sharing_seeds.py
+++ b/tests/simulation/test_sharing_seeds.py
@@ -51,3 +51,13 @@
 def test_news_of_the_last_messages_may_stand_at_the_end():
     # Rule S6 wanted all news over, also of a return that only the run's last messages showed.
     assert not play(72438).line
+
+
+def test_a_member_of_a_site_of_fifty_sends_its_last_message_in_time():
+    # It holds the message back for all of its time and refuses it, though the partner answers all others.
+    assert not play(72206).line
+
+
+def test_a_member_of_a_site_of_fifty_holds_back_only_from_a_partner_that_is_out():
+    # Two members report the partner out, of which the judge has seen fewer than two failed calls.
+    assert not play(72092).line
