Soak: a stand-in sees that a connection was reset, not only closed

Cause: the courier gives a call up by a reset; the late endpoint looked at at_eof alone, which stays false then, took the call for open until its answer was due, and counted that as delivered. Change: a reader with an exception has ended as well, which is also the stricter reading of what was delivered.

--- a/tests/soaking/soak_world.py
+++ b/tests/soaking/soak_world.py
@@ -112,10 +112,15 @@
     async def _is_given_up_within(reader, seconds: float) -> bool:
         end = time.monotonic() + seconds
         while (left := end - time.monotonic()) > 0:
-            if reader.at_eof():
+            if _has_ended(reader):
                 return True
             await asyncio.sleep(min(left, 0.02))
-        return reader.at_eof()
+        return _has_ended(reader)
+
+
+def _has_ended(reader: asyncio.StreamReader) -> bool:
+    """Whether the other side has closed or reset the connection."""
+    return reader.at_eof() or reader.exception() is not None
 
 
 class NotingDiscovery(Discovery):
