--- a/tests/standby/pair.py
+++ b/tests/standby/pair.py
@@ -81,6 +81,17 @@
         return await Client().open(self.listen, self.host)
 
 
+async def accepted(client, ident, **fields):
+    """Hand a message in until it is accepted, each time behind the wait that a refusal tells.
+
+    A standby that a busy machine holds up for `silent_ms` counts as silent, and the primary refuses then.
+    """
+    while (text := await client.put(ident, **fields)) != "+OK":
+        word, wait_ms = text.split()
+        assert word == "-BUSY", text
+        await asyncio.sleep(int(wait_ms) / 1e3)
+
+
 class Pair:
     """`a` is the primary, `b` the standby. `told`, `more`: settings of standby and application tables."""
 
--- a/tests/standby/test_taken_over.py
+++ b/tests/standby/test_taken_over.py
@@ -2,18 +2,7 @@
 
 import asyncio
 
-from pair import LIMIT, pair
-
-
-async def accepted(client, ident, **fields):
-    """Hand a message in until it is accepted, each time behind the wait that a refusal tells.
-
-    A standby that a busy machine holds up for `silent_ms` counts as silent, and the primary refuses then.
-    """
-    while (text := await client.put(ident, **fields)) != "+OK":
-        word, wait_ms = text.split()
-        assert word == "-BUSY", text
-        await asyncio.sleep(int(wait_ms) / 1e3)
+from pair import LIMIT, accepted, pair
 
 
 def test_pending_messages_are_completed_by_the_standby(tmp_path):
