Leases: what a rejected term request tells of joined members is read

Callers saw: a limit given out in part (15.5 of 20 for four members) for as long as a member could send but not receive, if that began within seconds of its site's first start. Cause: a fixed share is reserved for a member until it is known to have confirmed a term. The first grantor alone knew that of itself; its further requests carry it, but were read only where they are confirmed. Why it works: the bitmap is as true in a rejected request as in a confirmed one, and never goes back. The second new test states what stays: members killed so early keep their fixed share reserved until they are back.

--- a/madderbeam/shared/lease_group.py
+++ b/madderbeam/shared/lease_group.py
@@ -134,13 +134,13 @@
         now_us, voter = self.out.now_us, self.voter
         if member not in self.membership.members or not voter.may_reply(now_us):
             return
+        self.membership.merge_joined(now_us, message.joined)
         if not voter.may_confirm(now_us, member, message.regime) or message.lease_us > self.settings.lease_us:
             left_us = min(voter.remaining_us(now_us), REPORTED_SPAN_MAX_US)
             self.out.send(member, TermRejected(self.number, message.regime, message.ask, left_us))
             return
         if not self.join():
             return
-        self.membership.merge_joined(now_us, message.joined)
         self.candidacy.grantor_seen(member)
         votes = voter.confirm(now_us, member, message.regime)
         followed = self.holder.record_reply(now_us, self.number, member, message.regime, message.ask)
--- a/tests/shared/test_leases.py
+++ b/tests/shared/test_leases.py
@@ -76,6 +76,39 @@
     assert net.used() > 0.75 * net.total
 
 
+def just_granted(seed):
+    """Five members started at once; all have their first lease, of one grantor. Returns it as well."""
+    net = Net(seed, ids(5))
+    net.boot()
+    while not all(net.status(m)[0]["granter"] for m in net.site):
+        net.run(100_000)
+    (grantor,) = net.grantors()
+    return net, grantor
+
+
+def test_a_grantor_cut_off_right_after_its_first_grants_keeps_no_more_than_its_floor():
+    """It alone knows yet that it uses no fixed share; its requests, which are rejected, tell the others."""
+    for seed in range(5):
+        net, grantor = just_granted(seed)
+        net.cuts = {(m, grantor) for m in net.site if m != grantor}
+        net.tell(grantor, State.DEAD, net.detect_us)
+        net.run(15 * LEASE)
+        assert net.used() >= 0.98 * net.total, seed
+
+
+def test_fixed_shares_are_reserved_for_members_killed_right_after_the_first_grants():
+    """Nobody else knew that they had confirmed a term; once they are back, nothing is left unused."""
+    for seed in range(5):
+        net, grantor = just_granted(seed)
+        dead = (grantor, other(net))
+        net.kill(*dead)
+        net.run(4 * LEASE)
+        assert net.used() == pytest.approx(0.6 * net.total), seed
+        net.boot(*dead)
+        net.run(4 * LEASE)
+        assert net.used() >= 0.98 * net.total, seed
+
+
 def test_each_half_of_an_even_partition_has_its_floors_and_one_of_them_the_rest():
     net = settled(count=6)
     half = net.site[:3]
