Tests of killed and cut-off members: wait until all know who has given its fixed share up

They were killed or cut off within seconds of the site's first start, before another member could know that they had confirmed a lease term; a cut of one direction ends in silence, as a link without pongs breaks. docs/design/shared.md keeps a fixed share for such a member, since it may be alive and use it, so the case is allowed, and the sum that the tests wait for can't come.

Both tests now kill and cut once every member knows of all. What holds for an earlier kill is stated by test_fixed_shares_are_reserved_for_members_killed_right_after_the_first_grants: exactly the fixed shares are kept, and nothing is unused once they are back. Bounds and waits are as they were.

--- a/tests/federation/test_many_couriers.py
+++ b/tests/federation/test_many_couriers.py
@@ -87,6 +87,17 @@
         raise TimeoutError(json.dumps([t["shared"]["leases"] for t in told])) from None
 
 
+async def until_all_know_of_floors(estate, names):
+    """Wait until each of these members knows that all of them use no fixed share.
+
+    A fixed share is reserved for a member that is killed or cut off before: see test_leases.py,
+    test_fixed_shares_are_reserved_for_members_killed_right_after_the_first_grants.
+    """
+    await estate.until_told(
+        names, lambda told: all(t["shared"]["leases"]["known_joined"] == names for t in told), LIMIT
+    )
+
+
 def grantor(told):
     """Return the grantor of the partner's rate in this member's view."""
     leases = told["shared"]["leases"]
@@ -118,6 +129,7 @@
     dead, rest = names[:2], names[2:]
     await flood.begin(*names)
     await until_granted(estate, names, "")
+    await until_all_know_of_floors(estate, names)
     await flood.end(*dead)
     await asyncio.gather(*(estate[name].kill() for name in dead))
     await until_rate_is_granted(estate, rest)
@@ -143,6 +155,7 @@
     names = list(estate.members)
     await flood.begin(*names)
     first = await until_granted(estate, names, "")
+    await until_all_know_of_floors(estate, names)
     rest = [name for name in names if name != first]
     for name in rest:
         estate.links[name, first].cut()  # it sends but receives nothing
