Soak: each run listens on a loopback address of its own

A run ended with 'crash: it ends at its start with 1' (one of 15 clean runs, six side by side): the courier's port was chosen on 127.0.0.1 and lay free until the start and between two lives, and an outgoing connection of another run had taken it ('Address already in use ... 34391' in the courier's log). Outgoing connections go from 127.0.0.1, so nothing takes a port of an address that only this run uses.

--- a/tests/soaking/soak_clients.py
+++ b/tests/soaking/soak_clients.py
@@ -62,9 +62,14 @@
     """All clients of one run."""
 
     def __init__(
-        self, notes: Notes, rng: random.Random, port: int, dests: tuple[int, ...], in_pieces: bool
+        self,
+        notes: Notes,
+        rng: random.Random,
+        address: tuple[str, int],
+        dests: tuple[int, ...],
+        in_pieces: bool,
     ) -> None:
-        self.notes, self.rng, self.port, self.dests, self.in_pieces = notes, rng, port, dests, in_pieces
+        self.notes, self.rng, self.address, self.dests, self.in_pieces = notes, rng, address, dests, in_pieces
         self.requests: list[Request] = []
         self.connections: list[list[Connection]] = []
         self.may_connect: Callable[[], bool] = lambda: True
@@ -115,7 +120,7 @@
         if not self.may_connect():
             return None
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            reader, writer = await asyncio.open_connection(*self.address)
         except OSError:
             await asyncio.sleep(CONNECT_PAUSE_S)
             return None
--- a/tests/soaking/soak_run.py
+++ b/tests/soaking/soak_run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 import random
 import signal
@@ -35,7 +36,9 @@
 LIMITS_CHECK_S = 0.2
 PING_PAUSE_S = 0.02
 START_MAX_S = 20.0
+FIRST_NET, NETS, NET_SIZE = 220, 30, 250  # of the loopback addresses of runs
 PLANTS = Path(__file__).with_name("soak_plants.py")
+_runs = itertools.count()
 
 
 @dataclass(frozen=True)
@@ -71,11 +74,11 @@
         self.notes, self.course = Notes(), Course()
         self.rng = random.Random(f"run {scenario.seed}")
         self.discovery = NotingDiscovery(self.notes)
-        self.port = _free_port()
+        self.address = _own_address()
         self.is_ending = False
         self.connects_until_s = float("inf")
         self.crowd: list[socket.socket] = []
-        self.clients = Clients(self.notes, self.rng, self.port, tuple(DESTS), scenario.in_pieces)
+        self.clients = Clients(self.notes, self.rng, self.address, tuple(DESTS), scenario.in_pieces)
         self.clients.may_connect = lambda: time.monotonic() < self.connects_until_s
 
     async def add_endpoint(self, dest: int, name: str) -> str:
@@ -93,7 +96,7 @@
         self.notes.life += 1
         self.connects_until_s = float("inf")
         began = time.monotonic()
-        env = {**os.environ, **self.env(), "LB_LISTEN": f"127.0.0.1:{self.port}"}
+        env = {**os.environ, **self.env(), "LB_LISTEN": "{}:{}".format(*self.address)}
         program = [str(PLANTS), self.plant] if self.plant else ["-m", "madderbeam"]
         if self.plant:
             env["PYTHONPATH"] = str(ROOT)
@@ -115,7 +118,7 @@
 
     async def _answers_ping(self) -> bool:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
-            client = await Client().open(self.port)
+            client = await Client().open(self.address[1], self.address[0])
             try:
                 return await client.send(Client.command(b"PING")) == "+PONG"
             finally:
@@ -203,7 +206,7 @@
         for _ in range(self.scenario.crowd):
             sock = socket.socket()
             sock.setblocking(False)
-            sock.connect_ex(("127.0.0.1", self.port))
+            sock.connect_ex(self.address)
             self.crowd.append(sock)
 
     async def _watch_lag(self) -> None:
@@ -268,10 +271,13 @@
         )
 
 
-def _free_port() -> int:
+def _own_address() -> tuple[str, int]:
+    """A loopback address that only this run uses: no outgoing connection takes its port between two lives."""
+    pid = os.getpid()
+    host = f"127.{FIRST_NET + pid // NET_SIZE % NETS}.{pid % NET_SIZE}.{1 + next(_runs) % NET_SIZE}"
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+        sock.bind((host, 0))
+        return host, int(sock.getsockname()[1])
 
 
 def play(seed: int, folder: Path, plant: str = "") -> Outcome:
