Soak: a planted fault is met many times in a run of its own, and found in one run

Each planted fault has a run now that meets it often (moods, events and classes of the messages are set, the rest is drawn), and one run has to find it; the same run without the fault has to be clean. Stricter than before: one run in place of two or three, and a clean run beside it.

--- a/tests/soaking/soak_clients.py
+++ b/tests/soaking/soak_clients.py
@@ -11,10 +11,9 @@
 from dataclasses import dataclass, field
 
 from loopback import Client
+from soak_scenario import Scenario
 from soak_world import Notes
 
-CLASSES = ("safe", "keyed", "unsafe", "ordered")
-LIFE_MS = (800, 4000)
 CONNECTIONS_MAX = 3  # of each client
 PIECE_PAUSE_S = 0.004
 CONNECT_PAUSE_S = 0.05
@@ -67,9 +66,9 @@
         rng: random.Random,
         address: tuple[str, int],
         dests: tuple[int, ...],
-        in_pieces: bool,
+        scenario: Scenario,
     ) -> None:
-        self.notes, self.rng, self.address, self.dests, self.in_pieces = notes, rng, address, dests, in_pieces
+        self.notes, self.rng, self.address, self.dests, self.scenario = notes, rng, address, dests, scenario
         self.requests: list[Request] = []
         self.connections: list[list[Connection]] = []
         self.may_connect: Callable[[], bool] = lambda: True
@@ -82,23 +81,24 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def send_for(self, seconds: float, clients: int, rate_per_s: float, pipeline_max: int) -> None:
-        """Send messages at this rate from all clients together."""
-        self.connections = [[] for _ in range(clients)]
+    async def send_for(self, seconds: float) -> None:
+        """Send messages from all clients together, at the scenario's rate."""
+        scenario = self.scenario
+        self.connections = [[] for _ in range(scenario.clients)]
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            count = self.rng.randint(1, pipeline_max)
-            await asyncio.sleep(self.rng.expovariate(rate_per_s / count))
+            count = self.rng.randint(1, scenario.pipeline_max)
+            await asyncio.sleep(self.rng.expovariate(scenario.rate_per_s / count))
             mine = self.rng.choice(self.connections)
             self.spawn(self._send(mine, [self._request() for _ in range(count)]))
 
     def _request(self) -> Request:
         self.count += 1
-        kind = self.rng.choice(CLASSES)
+        kind = self.rng.choice(self.scenario.classes)
         ident = f"{self.count:016x}"
         key = f"key{self.count:013x}" if kind == "keyed" else ""
         order = f"{self.rng.randint(1, 4):016x}" if kind == "ordered" else "0" * 16
-        return Request(ident, kind, key, order, self.rng.randint(*LIFE_MS))
+        return Request(ident, kind, key, order, self.rng.randint(*self.scenario.life_ms))
 
     async def _send(self, mine: list[Connection], requests: list[Request]) -> None:
         connection = await self._connection(mine)
@@ -144,7 +144,7 @@
                 self.requests.append(request)
             data += request.command(self.dests[int(request.ident, 16) % len(self.dests)])
         with contextlib.suppress(ConnectionError):
-            if self.in_pieces:
+            if self.scenario.in_pieces:
                 cut = self.rng.randrange(1, len(data))
                 connection.writer.write(data[:cut])
                 await asyncio.sleep(PIECE_PAUSE_S)
--- a/tests/soaking/soak_run.py
+++ b/tests/soaking/soak_run.py
@@ -78,7 +78,7 @@
         self.is_ending = False
         self.connects_until_s = float("inf")
         self.crowd: list[socket.socket] = []
-        self.clients = Clients(self.notes, self.rng, self.address, tuple(DESTS), scenario.in_pieces)
+        self.clients = Clients(self.notes, self.rng, self.address, tuple(DESTS), scenario)
         self.clients.may_connect = lambda: time.monotonic() < self.connects_until_s
 
     async def add_endpoint(self, dest: int, name: str) -> str:
@@ -239,11 +239,7 @@
         watchers.append(asyncio.create_task(self._watch_limits()))
         self._open_crowd()
         began = time.monotonic()
-        scenario = self.scenario
-        sending = self.clients.send_for(
-            ACTIVE_S, scenario.clients, scenario.rate_per_s, scenario.pipeline_max
-        )
-        await asyncio.gather(sending, self._play(began))
+        await asyncio.gather(self.clients.send_for(ACTIVE_S), self._play(began))
         await asyncio.sleep(TAIL_S)
         self.course.ended_s = time.monotonic()
         for watcher in watchers:
@@ -282,9 +278,14 @@
 
 def play(seed: int, folder: Path, plant: str = "") -> Outcome:
     """Play the run of a seed; its log and the order of events are left in the folder."""
+    return play_scenario(draw(seed), folder, plant)
+
+
+def play_scenario(scenario: Scenario, folder: Path, plant: str = "") -> Outcome:
+    """Play this run; its log and the order of events are left in the folder."""
 
     async def inner() -> Outcome:
-        async with Soak(folder, draw(seed), plant) as soak:
+        async with Soak(folder, scenario, plant) as soak:
             return await soak.run()
 
     folder.mkdir(parents=True, exist_ok=True)
--- a/tests/soaking/soak_scenario.py
+++ b/tests/soaking/soak_scenario.py
@@ -13,6 +13,8 @@
 RESTART_AFTER_S = 0.6  # the next start after SIGKILL
 KEY_WINDOW_US = 1_000_000
 DRAIN_GRACE_US = 2_000_000
+CLASSES = ("safe", "keyed", "unsafe", "ordered")
+LIFE_MS = (800, 4000)
 MEMORY_MB = 64  # of the courier; the platform's least is 32
 
 
@@ -58,7 +60,7 @@
 
 @dataclass(frozen=True)
 class Scenario:
-    """One run."""
+    """One run. `classes`, `life_ms`: of the messages."""
 
     seed: int
     clients: int
@@ -69,6 +71,8 @@
     sockets: int
     moods: dict[Mood, float]
     events: tuple[Event, ...]
+    classes: tuple[str, ...] = CLASSES
+    life_ms: tuple[int, int] = LIFE_MS
 
     def settings(self) -> dict[str, object]:
         """The courier's settings."""
--- a/tests/soaking/test_soak.py
+++ b/tests/soaking/test_soak.py
@@ -1,16 +1,47 @@
 """The short soak: a few seeds of real processes, and planted faults that it has to find."""
 
+from dataclasses import dataclass, replace
+
 import pytest
-from soak_run import play
+from soak_run import play, play_scenario
+from soak_scenario import CLASSES, Event, Mood, Scenario, Step, draw
 
 SEEDS = (4, 8, 9, 11, 13, 29)
-# Seeds whose signals and moods may meet the fault: a run of processes is not repeated exactly.
+
+
+@dataclass(frozen=True)
+class Planted:
+    """A planted fault, the rule of the judge that it breaks, and the run that meets it many times."""
+
+    name: str
+    rule: str
+    moods: dict[Mood, float]
+    events: tuple[Event, ...] = ()
+    classes: tuple[str, ...] = CLASSES
+
+    def scenario(self) -> Scenario:
+        """The run, crowded by nobody and with messages that outlast a restart."""
+        return replace(
+            draw(9),
+            rate_per_s=80.0,
+            crowd=0,
+            sockets=512,
+            moods=self.moods,
+            events=self.events,
+            classes=self.classes,
+            life_ms=(3000, 4000),
+        )
+
+
+KILLS = tuple(Event(at_s, Step.KILL) for at_s in (1.5, 3.5, 5.5, 7.5, 9.5))
+RESTARTS = (Event(2.0, Step.RESTART), Event(7.5, Step.RESTART))
+FAILING = {Mood.DONE: 0.3, Mood.ERROR: 0.7}
 PLANTED = [
-    ("answer_dropped_at_the_end", (9, 26), "lost"),
-    ("attempt_not_recorded", (13, 9), "effects"),
-    ("window_one_second_short", (9, 13, 11), "window"),
-    ("notice_twice", (26, 9), "notices"),
-    ("refusal_after_an_attempt", (13, 9), "refused"),
+    Planted("answer_dropped_at_the_end", "lost", {Mood.DONE: 1.0}, RESTARTS),
+    Planted("attempt_not_recorded", "effects", {Mood.LATE: 1.0}, KILLS, ("unsafe",)),
+    Planted("window_one_second_short", "window", FAILING, (), ("keyed",)),
+    Planted("notice_twice", "notices", FAILING),
+    Planted("refusal_after_an_attempt", "refused", FAILING, (), ("unsafe",)),
 ]
 
 
@@ -20,7 +51,13 @@
     assert not outcome.violations and not outcome.is_void, outcome.line()
 
 
-@pytest.mark.parametrize("plant, seeds, rule", PLANTED)
-def test_the_soak_finds_a_planted_fault(tmp_path, plant, seeds, rule):
-    outcomes = (play(seed, tmp_path / str(seed), plant) for seed in seeds)
-    assert any(violation.startswith(rule) for outcome in outcomes for violation in outcome.violations)
+@pytest.mark.parametrize("planted", PLANTED, ids=lambda planted: planted.name)
+def test_the_soak_finds_a_planted_fault(tmp_path, planted):
+    outcome = play_scenario(planted.scenario(), tmp_path, planted.name)
+    assert any(violation.startswith(planted.rule) for violation in outcome.violations), outcome.line()
+
+
+@pytest.mark.parametrize("planted", PLANTED, ids=lambda planted: planted.name)
+def test_the_run_of_a_planted_fault_breaks_no_rule_without_it(tmp_path, planted):
+    outcome = play_scenario(planted.scenario(), tmp_path)
+    assert not outcome.violations and not outcome.is_void, outcome.line()
