--- a/tests/simulation/test_sharing_seeds.py
+++ b/tests/simulation/test_sharing_seeds.py
@@ -59,5 +59,5 @@
 
 
 def test_a_member_of_a_site_of_fifty_holds_back_only_from_a_partner_that_is_out():
-    # Two members report the partner out, of which the judge has seen fewer than two failed calls.
+    # The partner tells eight members to wait for 8 s. Rule S3 wants all to heed that, and rule S4 forbade it.
     assert not play(72092).line
