Decisions: with a leased rate, probes also come by time while a message waits

Callers saw: at a site of fifty couriers that share limits, one message to a partner that answered everyone else was never called with, and was deferred at its time's end. Cause: the circuit of a courier of so many opens at one failure, and its probes come by what arrives, each message granting a share of one. Where nothing else arrives, the last message waits for the rest of its life. Mend: where the rate is leased, tokens also come by time while a message waits, at the member's part of what a cold endpoint bears. The parts of all add up to that, as leases add up to the limit; nothing is saved up while nothing waits, nor over a Retry-After, for whose end all wait. Couriers without leases decide as before.

--- a/madderbeam/policy/admission.py
+++ b/madderbeam/policy/admission.py
@@ -90,13 +90,16 @@
 
         Summed over a fleet the probes follow the total traffic, whichever courier it arrives at, or what the
         destination takes where less arrives: couriers with few messages would detect the recovery late.
-        Probes are not saved up, because all clients with a Retry-After resubmit at the same moment.
+        Probes are not saved up, because all clients with a Retry-After resubmit at the same moment. Where the
+        rate is leased, probes also come by time while a message waits: it may be the courier's last.
         """
         for scope in destination.scopes:
             circuit = scope.shared_circuit
             is_probed = circuit is not None and circuit.is_open
             if circuit is None or not is_probed or self.state.now_us < scope.retry_after_until_us:
                 continue  # a slow start goes by time
+            if scope.rate_is_leased and not destination.queue:
+                circuit.tokens_updated_at_us = self.state.now_us
             shortfall = scope.listed_rate_per_s / self.pacer.traffic_per_s(scope)
             factor = max(1.0, min(SHORTFALL_FACTOR, shortfall))
             grant = factor * self.slow_start.capacity_multiple(circuit) / len(destination.scopes)
--- a/madderbeam/policy/circuit_breaker.py
+++ b/madderbeam/policy/circuit_breaker.py
@@ -48,6 +48,7 @@
             self.slow_start.set_base_rate(endpoint)
             if scope.shared_circuit and circuit.slow_start_since_us < 0:
                 circuit.tokens = state.random.random()  # chance sets which courier may probe first
+                circuit.tokens_updated_at_us = state.now_us
             state.log(f"endpoint {endpoint.id} ejected ({cause}): half-open probes only")
         circuit.is_open = True
         circuit.slow_start_since_us = -1
--- a/madderbeam/policy/eligibility.py
+++ b/madderbeam/policy/eligibility.py
@@ -81,6 +81,8 @@
         if circuit.half_open_call is not None:
             return False
         if endpoint.scope.shared_circuit:
+            if endpoint.scope.rate_is_leased:
+                return self.slow_start.has_token(endpoint) or has_quick_retry
             return circuit.tokens >= 1.0 or has_quick_retry
         if self.state.now_us < circuit.next_probe_at_us:
             self.state.wake_at(circuit.next_probe_at_us)
--- a/madderbeam/policy/slow_start.py
+++ b/madderbeam/policy/slow_start.py
@@ -72,18 +72,29 @@
         return max(rate, MIN_RATE_PER_S * self.state.probe_share)
 
     def has_token(self, endpoint: Endpoint) -> bool:
-        """Whether a call of the slow start is due; if not, the engine is woken when it is."""
+        """Whether a call of the slow start, or a probe, is due; if not, the engine is woken when it is."""
         circuit = endpoint.circuit
-        now_us = self.state.now_us
-        rate = self.rate_per_s(endpoint)
-        gained = rate * (now_us - circuit.tokens_updated_at_us) / 1e6
-        circuit.tokens = min(1.0, circuit.tokens + gained)
-        circuit.tokens_updated_at_us = now_us
+        rate = self._gain_tokens(endpoint)
         if circuit.tokens >= 1.0:
             return True
-        self.state.wake_at(now_us + int((1 - circuit.tokens) / rate * 1e6) + 1)
+        self.state.wake_at(self.state.now_us + int((1 - circuit.tokens) / rate * 1e6) + 1)
         return False
 
+    def _gain_tokens(self, endpoint: Endpoint) -> float:
+        """Add the tokens gained since the last update, and return the rate at which they come.
+
+        Those of probes are not saved up over a Retry-After, whose end all couriers wait for.
+        """
+        circuit = endpoint.circuit
+        now_us = self.state.now_us
+        since_us = circuit.tokens_updated_at_us
+        if circuit.is_open:
+            since_us = max(since_us, endpoint.scope.retry_after_until_us)
+        rate = self.rate_per_s(endpoint)
+        circuit.tokens = min(1.0, circuit.tokens + rate * max(0, now_us - since_us) / 1e6)
+        circuit.tokens_updated_at_us = now_us
+        return rate
+
     def probe_spacing_us(self, endpoint: Endpoint) -> int:
         """Return the time between one courier's probes at which the fleet's are what an endpoint bears."""
         return int((1 - self.state.probe_share**2) / self.rate_per_s(endpoint) * 1e6)
--- a/tests/test_learnt_entries.py
+++ b/tests/test_learnt_entries.py
@@ -120,3 +120,28 @@
     h.courier.state.destinations[1].arrivals = 10_000
     told(h, rate_per_s=40.0, rate_is_leased=True, recovering=True, slow_start_share=0.25)
     assert h.courier.state.endpoints[100].circuit.base_rate_per_s == 10.0
+
+
+def in_trouble_of_fifty(rate, seed):
+    """One of fifty, lent its part of this rate; its circuit is open, and nothing waits."""
+    h = Host(rates_listed=True, courier_count=50)
+    h.courier.state.random.seed(seed)
+    told(h, rate_per_s=rate, rate_is_leased=True)
+    out(h)
+    calls(h, h.idle(12.0), AttemptResult.RESET)
+    h.courier.state.endpoints[100].circuit.tokens = 0.0
+    return h
+
+
+def until_called(h):
+    """How long a message waits for its first call, in seconds, of the ten that it has."""
+    begin, acts = h.now, h.arrive(life=10 * S)
+    while not of(Send, acts) and h.now < begin + 10 * S:
+        acts = h.idle(0.05)
+    return (h.now - begin) / S
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_message_that_alone_waits_at_one_of_fifty_is_tried_in_its_time(seed):
+    h = in_trouble_of_fifty(60.0, seed)
+    assert 2 < until_called(h) <= 6  # by its part of what a cold endpoint bears, nothing saved up
