Decisions: a recovery goes on at the listed rate as it is now, not as the circuit opened

Callers saw: a member that was on its lease's floor as its circuit opened (0.12 calls a second of 60 for fifty) goes on with probes and slow start at a tenth of its part, though 1.3 are lent to it by then. Cause: the rate of a recovery is set as the circuit opens or the slow start begins; a lease moves each second. Mend: when a listed or leased rate changes, tokens are counted up to now at the old rate, and come at the new one from then on. Since leases add up to the limit, so do the rates of all recoveries, which stale ones did not.

--- a/madderbeam/policy/endpoint_list.py
+++ b/madderbeam/policy/endpoint_list.py
@@ -71,6 +71,8 @@
             scope.listed_rate_per_s = part
             scope.pace_per_s = self.pacer.initial_pace_per_s(part, entry.rate_is_leased)
             scope.overload_pace_per_s = scope.pace_per_s
+            for endpoint in scope.endpoints.values():
+                self.slow_start.follow_listed_rate(endpoint)
 
     def _add(self, entry: EndpointEntry) -> Endpoint:
         state = self.state
--- a/madderbeam/policy/slow_start.py
+++ b/madderbeam/policy/slow_start.py
@@ -53,6 +53,15 @@
         unlisted = max(endpoint.circuit.base_rate_per_s, traffic, alone)
         endpoint.circuit.base_rate_per_s = scope.listed_rate_per_s or unlisted
 
+    def follow_listed_rate(self, endpoint: Endpoint) -> None:
+        """The listed rate has changed: an open circuit's probes and a slow start go on at the new one."""
+        circuit = endpoint.circuit
+        if not circuit.base_rate_per_s:
+            return
+        if not circuit.is_open or endpoint.scope.rate_is_leased:
+            self._gain_tokens(endpoint)
+        self.set_base_rate(endpoint)
+
     def capacity_multiple(self, circuit: CircuitBreaker) -> float:
         """Return the multiple of its usual calls that a recovering endpoint may get."""
         settings = self.state.settings
--- a/tests/test_learnt_entries.py
+++ b/tests/test_learnt_entries.py
@@ -145,3 +145,11 @@
 def test_a_message_that_alone_waits_at_one_of_fifty_is_tried_in_its_time(seed):
     h = in_trouble_of_fifty(60.0, seed)
     assert 2 < until_called(h) <= 6  # by its part of what a cold endpoint bears, nothing saved up
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_probes_go_on_at_the_rate_that_is_lent_now(seed):
+    """It had its floor as its circuit opened, and ten times that now."""
+    h = in_trouble_of_fifty(6.0, seed)
+    told(h, rate_per_s=60.0, rate_is_leased=True)
+    assert until_called(h) <= 6
