Sharing: rejections for overload are not reported as an outage

Cause: a member reports an outage once all its circuits are open, and three 503 in a row open one. With two reports of fifty members the others hold back. Mend: open circuits count only with evidence of an outage since the last answer (reset, refused connection, call that hung, error, long Retry-After).

--- a/madderbeam/host/federation/site_sharing.py
+++ b/madderbeam/host/federation/site_sharing.py
@@ -246,7 +246,9 @@
             scope.failures_in_a_row >= OUTAGE_FAILURES and scope.failing_since_us >= 0
             for scope in dest.scopes
         )
-        is_out = all(endpoint.circuit.is_open for endpoint in endpoints) or (
+        # Rejections for overload open circuits too, and others may still be answered.
+        has_failed = any(scope.failing_since_us >= 0 for scope in dest.scopes)
+        is_out = (has_failed and all(endpoint.circuit.is_open for endpoint in endpoints)) or (
             number in self.failed_destinations and is_failing
         )
         # The engine's state may be from before the recovery.
--- a/tests/simulation/test_sharing_seeds.py
+++ b/tests/simulation/test_sharing_seeds.py
@@ -61,3 +61,8 @@
 def test_a_member_of_a_site_of_fifty_holds_back_only_from_a_partner_that_is_out():
     # The partner tells eight members to wait for 8 s. Rule S3 wants all to heed that, and rule S4 forbade it.
     assert not play(72092).line
+
+
+def test_overload_that_two_members_meet_is_no_outage_for_the_others():
+    # A partner of a site of fifty answers half of the calls with 503; two members' circuits opened for that.
+    assert not play(82021).line
