Leases: a late vote's word on earlier terms no longer cuts what a running term gave

Cause: a grantor divides no more than what was reported as its term began, until grants of earlier terms are over. A member that had confirmed a term of its own while cut off, which never ran, told the running grantor of it. Mend: votes tell of earlier terms until the term begins. Each term that ran had majorities, as had this one at its begin, so one of its first voters has told of it; renewals keep others from beginning.

--- a/madderbeam/shared/lease_term.py
+++ b/madderbeam/shared/lease_term.py
@@ -128,6 +128,10 @@
     ) -> None:
         """Count a member's vote, and begin or extend the term once the majorities have confirmed.
 
+        What a vote tells of earlier grants counts until the term begins: each earlier term had majorities,
+        too, and one of the voters that let this one begin belonged to them. Later votes may tell of terms
+        that never ran.
+
         A term begins only soon after its first request, while the holdings that members reported are still
         accurate.
         """
@@ -135,7 +139,7 @@
             return
         requested_us, voters = self._requests[request]
         voters.add(member)
-        if earlier_us:
+        if earlier_us and self.running_since_us is None:
             self.earlier_grants_until_us = max(
                 self.earlier_grants_until_us, now_us + longest_us(earlier_us, self.settings.drift_ppm)
             )
--- a/tests/shared/test_leases.py
+++ b/tests/shared/test_leases.py
@@ -109,6 +109,24 @@
         assert net.used() >= 0.98 * net.total, seed
 
 
+def test_a_member_that_asked_in_vain_for_a_term_of_its_own_does_not_lower_what_others_have():
+    """Its word on earlier terms, of which none ran, comes late: the grantor's majority has told of all."""
+    for seed in range(5):
+        net = settled(seed)
+        net.cuts = {(m, n) for m in net.site for n in net.site if m != n}
+        net.run(3 * LEASE)  # all have their floors as the next term begins
+        net.cuts = set()
+        net.run(6 * LEASE)
+        cut_off = other(net)
+        net.cuts = {(m, n) for m in net.site for n in net.site if m != n and cut_off in (m, n)}
+        net.run(4 * LEASE)  # it asks for terms, and confirms these itself
+        net.cuts = set()
+        for _ in range(8 * LEASE // (S // 4)):
+            net.run(S // 4)
+            assert net.used() >= 0.75 * net.total, seed
+        assert net.used() >= 0.98 * net.total, seed
+
+
 def test_each_half_of_an_even_partition_has_its_floors_and_one_of_them_the_rest():
     net = settled(count=6)
     half = net.site[:3]
--- a/tests/simulation/test_sharing_seeds.py
+++ b/tests/simulation/test_sharing_seeds.py
@@ -66,3 +66,8 @@
 def test_overload_that_two_members_meet_is_no_outage_for_the_others():
     # A partner of a site of fifty answers half of the calls with 503; two members' circuits opened for that.
     assert not play(82021).line
+
+
+def test_a_member_that_comes_back_does_not_lower_what_the_others_have():
+    # It told a running grantor of a term of its own that had never begun.
+    assert not play(82227).line
