Simulation: a federation's member that finds no room for its lock is started again

It says in one line that its folder can't be used, and ends, as a courier without records must; whoever keeps it starts it again. The checker let an OSError of such a start through while the disk was full or failing, and not the error that tells the same of the folder, which the checker of plain runs does.

--- a/madderbeam/simulation/federation.py
+++ b/madderbeam/simulation/federation.py
@@ -17,7 +17,7 @@
 from madderbeam.host import process
 from madderbeam.host.federation.component import FederationComponent
 from madderbeam.host.host import Host
-from madderbeam.host.standalone import claim_resources
+from madderbeam.host.standalone import ResourceHeldError, claim_resources
 from madderbeam.journal.steady_clock import BOOT_ID_PATH
 from madderbeam.membership.values import MemberId
 from madderbeam.ports import Address, Ports
@@ -122,7 +122,7 @@
         try:
             ports, _ = claim_resources(config, Ports(self.clock, self.network, self.disk))
             self.host = process.start(self.loop, ports, {}, config)
-        except OSError:
+        except (OSError, ResourceHeldError):
             if self.sick_us < self.world.now_us:
                 raise
             self.die()
