Soak: upgrades in service, late endpoints, and no four seconds without service

The soak drew neither upgrades nor endpoints that are listed before they listen, and did not judge a courier that turns back all that it gets. A run may now have an upgrade (a second process takes over, SIGTERM to the first, which has to end with 0; calls, waits, orders and keys go on as those of one life) and a late endpoint.

--- a/tests/soaking/soak_judge.py
+++ b/tests/soaking/soak_judge.py
@@ -17,6 +17,7 @@
 ANSWER_SLACK_S = 0.5  # behind a message's time, until which its answer may come
 WAIT_GRACE_S = 0.1  # calls within this of a told wait are let through
 READY_S = 10.0
+REFUSING_S, REFUSED_MIN = 4.0, 15  # it may not turn back all that it gets, so many, for so long
 KILL_SEEN_S = 0.5  # within this of a SIGKILL an ended connection is its doing
 
 
@@ -50,6 +51,7 @@
     def violations(self) -> list[str]:
         """A line for each broken rule."""
         found = [*self.course.crashes, *self._limits(), *self._drains(), *self._waits(), *self._order()]
+        found += self._service()
         for request in self.requests:
             found += self._request(request)
         found += self._notices()
@@ -112,6 +114,21 @@
             if count > 1:
                 yield f"notices: {ident} is reported {count} times in life {life}"
 
+    def _service(self) -> Iterator[str]:
+        """It does not turn back all that it gets for long, outside of restarts."""
+        refused: list[float] = []
+        for request in sorted(self.requests, key=lambda request: request.answered_s):
+            at_s = request.answered_s
+            if not request.answer or self._is_in_restart(at_s, at_s):
+                continue
+            if request.answer.startswith("+") or (refused and self._is_in_restart(refused[0], at_s)):
+                refused = []
+            if not request.answer.startswith("+"):
+                refused.append(at_s)
+            if len(refused) >= REFUSED_MIN and at_s - refused[0] >= REFUSING_S:
+                yield f"service: it turns back all {len(refused)} that it gets for {at_s - refused[0]:.1f} s"
+                return
+
     def _limits(self) -> Iterator[str]:
         for seconds in self.course.ready_after_s:
             if seconds > READY_S:
--- a/tests/soaking/soak_run.py
+++ b/tests/soaking/soak_run.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from loopback import ROOT, Client, Fleet
+from loopback import ROOT, Client, Fleet, call
 from soak_clients import Clients
 from soak_judge import Course, Judge
 from soak_scenario import (
@@ -35,6 +35,8 @@
 LAG_CHECK_S, LAG_MAX_S = 0.05, 0.5  # a run whose judge was later than this is void
 LIMITS_CHECK_S = 0.2
 PING_PAUSE_S = 0.02
+READY = 200  # status of GET /ready
+STEPS_IN_TURN = (Step.RESTART, Step.KILL, Step.UPGRADE)  # of the courier's process, one behind the other
 START_MAX_S = 20.0
 FIRST_NET, NETS, NET_SIZE = 220, 30, 250  # of the loopback addresses of runs
 PLANTS = Path(__file__).with_name("soak_plants.py")
@@ -89,21 +91,44 @@
         self.discovery.target(uid, endpoint.port, dest)
         return uid
 
+    async def _add_late_endpoint(self, dest: int, name: str, seconds: float) -> None:
+        """List an endpoint at once, and have it listen after a while."""
+        uid = f"{dest}-{name}"
+        address = _free_address("127.0.0.1")
+        self.notes.note(f"{uid} is listed and does not listen")
+        self.discovery.target(uid, address[1], dest)
+        self.discovery._push(self.discovery.whole())
+        await asyncio.sleep(seconds)
+        endpoint = MoodyEndpoint(uid, self.notes, self.scenario.moods, self.rng)
+        with contextlib.suppress(OSError):  # an outgoing connection has its port: it never listens
+            self.endpoints[uid] = await endpoint.start(address[1])
+        self.notes.note(f"{uid} listens")
+
     # The courier's process
 
-    async def start(self) -> None:
-        """Start it, and wait until it answers PING."""
-        self.notes.life += 1
-        self.connects_until_s = float("inf")
-        began = time.monotonic()
-        env = {**os.environ, **self.env(), "LB_LISTEN": "{}:{}".format(*self.address)}
+    async def _spawn(self) -> asyncio.subprocess.Process:
+        """Begin a process of the courier, with a second address of its own."""
+        self.control = _free_address(self.address[0])
+        env = {
+            **os.environ,
+            **self.env(),
+            "LB_LISTEN": "{}:{}".format(*self.address),
+            "LB_CONTROL": "{}:{}".format(*self.control),
+        }
         program = [str(PLANTS), self.plant] if self.plant else ["-m", "madderbeam"]
         if self.plant:
             env["PYTHONPATH"] = str(ROOT)
         with (self.folder / "courier.log").open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
+            return await asyncio.create_subprocess_exec(
                 sys.executable, *program, env=env, cwd=ROOT, stderr=log
             )
+
+    async def start(self) -> None:
+        """Start it, and wait until it answers PING."""
+        self.notes.life += 1
+        self.connects_until_s = float("inf")
+        began = time.monotonic()
+        self.process = await self._spawn()
         self.notes.note(f"life {self.notes.life} starts")
         while time.monotonic() < began + START_MAX_S:
             if self.process.returncode is not None:
@@ -125,6 +150,30 @@
                 client.writer.close()
         return False
 
+    async def _is_ready(self) -> bool:
+        """Whether its second address says that it has charge."""
+        with contextlib.suppress(OSError, IndexError, TimeoutError):
+            status, _ = await call(self.control[1], "GET", "/ready", host=self.control[0])
+            return status == READY
+        return False
+
+    async def _upgrade(self) -> None:
+        """Start a second process; once it has charge, end the first with SIGTERM."""
+        began, first = time.monotonic(), self.process
+        self.notes.note("an upgrade begins")
+        second = await self._spawn()
+        while not await self._is_ready():
+            if second.returncode is not None or time.monotonic() > began + START_MAX_S:
+                self.course.crashes.append(f"crash: an upgrade's process ends with {second.returncode}")
+                return
+            await asyncio.sleep(PING_PAUSE_S)
+        self.process = second
+        self.course.ready_after_s.append(time.monotonic() - began)
+        self.notes.note("the second process has charge")
+        first.send_signal(signal.SIGTERM)
+        if (status := await asyncio.wait_for(first.wait(), START_MAX_S)) != 0:
+            self.course.crashes.append(f"crash: the process before an upgrade ends with {status}")
+
     def send(self, number: int) -> None:
         """Send it a signal, if it lives."""
         if self.process.returncode is None:
@@ -163,15 +212,17 @@
 
     async def _play(self, began: float) -> None:
         for event in self.scenario.events:
-            if event.step in (Step.RESTART, Step.KILL):
+            if event.step in STEPS_IN_TURN:
                 continue
             self.clients.spawn(self._step(event, began))
         for event in self.scenario.events:
-            if event.step not in (Step.RESTART, Step.KILL):
+            if event.step not in STEPS_IN_TURN:
                 continue
             await asyncio.sleep(max(0.0, began + event.at_s - time.monotonic()))
             if event.step is Step.RESTART:
                 await self._restart(event)
+            elif event.step is Step.UPGRADE:
+                await self._upgrade()
             else:
                 await self._kill_and_start(time.monotonic())
 
@@ -185,6 +236,9 @@
             await asyncio.sleep(event.seconds)
             self.notes.note("discovery speaks")
             self.discovery.be_silent(False)
+        elif event.step is Step.LATE_ENDPOINT:
+            dest = self.rng.choice(list(DESTS))
+            await self._add_late_endpoint(dest, f"late{len(self.endpoints)}", event.seconds)
         elif event.step in (Step.DRAIN, Step.REPLACE):
             uid = self.rng.choice(
                 [u for u, t in self.discovery.targets.items() if t["state"] == "in_service"]
@@ -270,7 +324,12 @@
 def _own_address() -> tuple[str, int]:
     """A loopback address that only this run uses: no outgoing connection takes its port between two lives."""
     pid = os.getpid()
-    host = f"127.{FIRST_NET + pid // NET_SIZE % NETS}.{pid % NET_SIZE}.{1 + next(_runs) % NET_SIZE}"
+    return _free_address(
+        f"127.{FIRST_NET + pid // NET_SIZE % NETS}.{pid % NET_SIZE}.{1 + next(_runs) % NET_SIZE}"
+    )
+
+
+def _free_address(host: str) -> tuple[str, int]:
     with socket.socket() as sock:
         sock.bind((host, 0))
         return host, int(sock.getsockname()[1])
--- a/tests/soaking/soak_scenario.py
+++ b/tests/soaking/soak_scenario.py
@@ -45,6 +45,8 @@
     DRAIN = "an endpoint drains"
     REPLACE = "an endpoint is replaced"
     SILENCE = "discovery is silent for a while"
+    UPGRADE = "a second process takes over, SIGTERM to the first"
+    LATE_ENDPOINT = "an endpoint is listed, and listens only after a while"
 
 
 @dataclass(frozen=True)
@@ -105,7 +107,7 @@
         crowd=sockets if is_crowded else 0,
         sockets=sockets,
         moods=_moods(rng),
-        events=tuple(_events(rng)),
+        events=tuple(sorted(_events(rng) + _later_events(seed), key=lambda event: event.at_s)),
     )
 
 
@@ -134,4 +136,15 @@
     for step in (Step.HANGUP, Step.DRAIN, Step.REPLACE, Step.SILENCE):
         for _ in range(rng.choice((0, 0, 1, 2))):
             events.append(Event(rng.uniform(0.3, ACTIVE_S - 1), step, rng.uniform(1.0, 4.0)))
-    return sorted(events, key=lambda event: event.at_s)
+    return events
+
+
+def _later_events(seed: int) -> list[Event]:
+    """Upgrades and late endpoints, drawn apart, so that the rest of a seed's run stays as it is."""
+    rng = random.Random(f"soak later {seed}")
+    events = []
+    if rng.random() < 0.4:
+        events.append(Event(rng.uniform(0.5, ACTIVE_S - 1), Step.UPGRADE))
+    for _ in range(rng.choice((0, 0, 1))):
+        events.append(Event(rng.uniform(0.3, ACTIVE_S - 3), Step.LATE_ENDPOINT, rng.uniform(0.5, 3.0)))
+    return events
