--- a/tests/simulation/test_federation_seeds.py
+++ b/tests/simulation/test_federation_seeds.py
@@ -45,6 +45,6 @@
 
 
 def test_a_start_that_finds_no_room_for_its_lock_is_made_again():
-    # Killed before its lock file was on disk, and started on a full one: it says so, ends, and is started again.
+    # Killed before its lock file was on disk: on a full one it says so, ends, and is started again.
     report = play(82545)
     assert "disk_full" in report.kinds and not report.line
