Federation: a start count that is not on disk is shown to no member

Cause: a process that started on a full disk could not write its start count. The membership sent nothing until it could, but the mesh opened links under that count, and the agreement announced its count of votes there. Killed, the next process began with the same count and another nonce, and was taken for a copy. Mend: where the count could not be written, links are closed before they are dialed and connections are not accepted until it is written.

--- a/madderbeam/host/federation/component.py
+++ b/madderbeam/host/federation/component.py
@@ -40,7 +40,7 @@
 from madderbeam.host.federation.site_sharing import SiteSharing
 from madderbeam.host.host import Host
 from madderbeam.membership import messages as gossip
-from madderbeam.membership.incarnations import next_incarnation
+from madderbeam.membership.incarnations import OWN_KEY, RECORD_KIND, next_incarnation
 from madderbeam.membership.membership import Membership
 from madderbeam.membership.settings import MembershipSettings as MembershipSettings
 from madderbeam.membership.values import (
@@ -126,6 +126,7 @@
         # None: not posted yet; an empty set is posted too
         self.posted_subscriptions: dict[str, set[int]] | None = None
         self.is_started = False
+        self.is_start_durable = True  # False from a failed write of the start count until it is written
         self._create_membership()
         self._create_table_machines()
         self._create_relay()
@@ -340,6 +341,8 @@
         if self.shared is not None:
             self.shared.open()
         self._update_links()
+        if self.store.map.get((RECORD_KIND, OWN_KEY)) != self.incarnation.start:
+            self._hide_incarnation()
 
     def on_list_changed(self) -> None:
         """Called when the endpoint list has changed: post its topic subscriptions if they changed."""
@@ -529,7 +532,7 @@
         self.federation_runner.post_event(event)
 
     def _incarnation_raised(self, action: IncarnationRaised) -> None:
-        """Use a raised incarnation in everything that is sent from now on."""
+        """The incarnation's start count is on disk: use it in everything that is sent from now on."""
         if action.incarnation != self.incarnation:
             self.incarnation = action.incarnation
             log.warning("federation: %s continues as start %d", self.member_id, self.incarnation.start)
@@ -537,6 +540,18 @@
             shared = (self.findings_runner,) if self.findings_runner is not None else ()
             for runner in (self.federation_runner, self.subscriptions_runner, *shared):
                 runner.post_event(action)
+        if not self.is_start_durable:
+            self.is_start_durable = self.mesh.may_be_seen = True
+            self._update_links()
+
+    def _hide_incarnation(self) -> None:
+        """Have no member see this incarnation until its start count is on disk; no link has been dialed yet.
+
+        The next process would use the count again, and be taken for one whose state was rolled back.
+        """
+        self.is_start_durable = self.mesh.may_be_seen = False
+        for member in list(self.mesh.links):
+            self.mesh.close_link(member)
 
     def _send_message(self, action: SendMessage) -> None:
         message = action.message
@@ -562,6 +577,8 @@
 
     def _open_link(self, member: MemberId) -> None:
         """Open a link to the member: at the configured address, else the gossiped one, else the table's."""
+        if not self.is_start_durable:
+            return
         if member == self.member_id or (
             len(self.mesh.links) >= MAX_PERMANENT_LINKS and member not in self.mesh.links
         ):
--- a/madderbeam/transport/mesh/mesh.py
+++ b/madderbeam/transport/mesh/mesh.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from madderbeam.membership.values import Incarnation, MemberId, Row
-from madderbeam.ports import Address, Network
+from madderbeam.ports import Address, Network, Socket
 from madderbeam.transport.accepting import Accepting
 from madderbeam.transport.mesh import frames
 from madderbeam.transport.mesh.accepted_connections import AcceptedConnections
@@ -72,7 +72,8 @@
         self.datagrams = Datagrams(network, federation, counters, self._on_datagram)
         self.exchanges = Exchanges(self.context)
         self.accepted = AcceptedConnections(self.context, self.exchanges, self._on_link)
-        self.accepting = Accepting(loop, network, self.accepted.accept, self._free_descriptor, "member")
+        self.accepting = Accepting(loop, network, self._accept, self._free_descriptor, "member")
+        self.may_be_seen = True  # others may learn this incarnation; until then connections are refused
         self.links: dict[MemberId, OutgoingLink] = {}
 
     def listen(self) -> int:
@@ -187,6 +188,12 @@
 
     # Receiving
 
+    def _accept(self, sock: Socket) -> None:
+        if self.may_be_seen:
+            self.accepted.accept(sock)
+        else:
+            sock.close()
+
     def _emit(self, channel: str, event: Any) -> None:
         if not self._closed:
             self._handler(channel, event)
--- a/tests/simulation/test_federation_seeds.py
+++ b/tests/simulation/test_federation_seeds.py
@@ -48,3 +48,9 @@
     # Killed before its lock file was on disk: on a full one it says so, ends, and is started again.
     report = play(82545)
     assert "disk_full" in report.kinds and not report.line
+
+
+def test_a_member_whose_start_was_not_written_is_not_taken_for_rolled_back_after_the_next():
+    # On a full disk it told others of a start count that was not on its disk, and began with the same again.
+    report = play(82884)
+    assert "disk_full" in report.kinds and not report.line
