Simulation: rule S2 leaves the fixed share of a member that died too early reserved

Trace: macon/m2, one of three, dies for good 4.3 s after its start, about the time of its first vote; the two that live hold 5.0 of 15 each, and 5.0 stay reserved for it, as docs/design/shared.md has it for a member that is not known to have voted. The rule now lets the fixed share of a member that is down and never ran for 10 s (a lease time until its vote counts, one in which the share may be a lease, and two renewals) stay reserved, and judges as before for all others.

--- a/madderbeam/simulation/sharejudge.py
+++ b/madderbeam/simulation/sharejudge.py
@@ -18,6 +18,9 @@
 COLD_SLACK_FROM, COLD_SLACK, COLD_SLACK_FEW = 30, 2.0, 3.0
 SLACK = 3.0  # standard deviations of the calls within a limit
 LEASES_US = 8 * S  # two lease times: until then leases may be with members that are gone
+# A vote counts a lease time after the start, the fixed share may be a lease for another, and what is known of
+# it goes out with a renewal: a member that ran for less may use its fixed share, for all that others know.
+JOINED_KNOWN_US = 10 * S
 WITNESSES = 2  # members that it takes to say that a partner is out
 TRIERS = 2  # members that call a partner which is out, in any second: one, and the next
 PACED_US = 5 * S  # calls are counted over so long
@@ -49,6 +52,7 @@
         self.paced: dict[int, deque[int]] = defaultdict(deque)
         self.loads: dict[int, deque[tuple[int, Member]]] = defaultdict(deque)
         self.ended: dict[tuple[Member, int], int] = {}  # when a life ended
+        self.longest_us: dict[Member, int] = {}  # its longest life that has ended
         self.failed_us: dict[tuple[Member, int], int] = {}  # when a call that fails last came there
         self.served: dict[tuple[Member, int], int] = {}  # when it was last answered there
 
@@ -77,6 +81,9 @@
 
     def died(self, member: Member) -> None:
         self.changed_us = self.ended[member, member.life] = self.world.now_us
+        if member.ready_us >= 0:
+            lived_us = self.world.now_us - member.ready_us
+            self.longest_us[member] = max(lived_us, self.longest_us.get(member, 0))
 
     def steady(self, member: Member, for_us: int) -> bool:
         """It has run for so long, and reached the others."""
@@ -170,16 +177,21 @@
         quiet = max(self.rest_us, self.changed_us, self.returned_us)
         if 2 * len(up) <= len(members) or not quiet + LEASES_US < world.now_us < world.heal_us:
             return
+        unknown = [m for m in members if m not in up and self._longest_life_us(m) < JOINED_KNOWN_US]
         for partner in world.partners:
             resource = f"rate/{partner.number}"
             parts = [m.room.shared.leases.amount(resource, m.clock.monotonic_us()) for m in up]
-            if sum(parts) < 0.9 * partner.rate:
+            if sum(parts) < 0.9 * partner.rate * (1 - len(unknown) / len(members)):
                 self.broken(
                     "S2",
                     f"{resource}: {sum(parts):.2f} of {partner.rate} are given out though "
                     f"nothing has happened since {quiet}: {parts}",
                 )
 
+    def _longest_life_us(self, member: Member) -> int:
+        present_us = self.world.now_us - member.ready_us if member.up and member.ready_us >= 0 else 0
+        return max(present_us, self.longest_us.get(member, 0))
+
     # News
 
     def call(self, call: Call) -> None:
--- a/tests/simulation/test_sharing_seeds.py
+++ b/tests/simulation/test_sharing_seeds.py
@@ -71,3 +71,13 @@
 def test_a_member_that_comes_back_does_not_lower_what_the_others_have():
     # It told a running grantor of a term of its own that had never begun.
     assert not play(82227).line
+
+
+def test_a_fixed_share_may_stay_reserved_for_a_member_that_died_before_others_could_know_of_its_vote():
+    # One of three died 4.3 s after its start. Rule S2 wanted its share given out as well.
+    assert not play(82298).line
+
+
+def test_two_members_that_a_cut_parted_find_each_other_again():
+    # Four others are down: each exchange with a dead member is with one drawn of five.
+    assert not play(82293).line
