Transport: the HTTP connection in the terms of the field

Answer becomes ResponseReader, and its fields say what they hold (is_complete for whole, began_early for early, has_trailing_data for more, may_keep_alive for again); docstrings of http.py and dialing.py are in ordinary technical English, and one long function is split.

--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -16,7 +16,7 @@
 
 from madderbeam.policy.events import AttemptResult
 from madderbeam.ports import Address, Network, Socket
-from madderbeam.transport.http import LOCAL_ERRORS, Connection, Exchange, nothing
+from madderbeam.transport.http import LOCAL_ERRORS, Connection, Exchange, do_nothing
 
 IDLE_SHARE = 0.75  # idle connections are closed at this share of the time at which the endpoint would
 IDLE_EACH = 8  # idle connections kept to one endpoint
@@ -464,7 +464,7 @@
             connection = pool.idle.pop()
             pool.timers.pop(connection).cancel()
             self.idle -= 1
-            connection.on_close = nothing
+            connection.on_close = do_nothing
             if not connection.stale():
                 self.reused += 1
                 self._wait(call, fresh=False)
--- a/madderbeam/transport/dialing.py
+++ b/madderbeam/transport/dialing.py
@@ -1,4 +1,4 @@
-"""A connection that is made from here: until it is up, and whether an idle one still is."""
+"""Outgoing connections of any protocol: establishing one, and checking whether an idle one is still open."""
 
 from __future__ import annotations
 
@@ -15,18 +15,21 @@
 
 
 class Dialed:
-    """What connections of each protocol share. Once it is up `_readable` is called as bytes come."""
+    """The part of an outgoing connection that all protocols share.
+
+    Once it is established, `_readable` is called whenever there are bytes to read.
+    """
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, network: Network, address: Address, sock: Socket | None = None
     ) -> None:
-        """`sock`: one that is connected, or about to be, in place of a new one. OSError if there is none."""
+        """`sock`: a socket that is connected or connecting; by default a new one, or OSError."""
         self.loop, self.network, self.address = loop, network, address
         self.closed = self.connected = False
         self.sock = sock or network.stream(address)
 
     def connect(self, done: Callable[[OSError | None], None]) -> None:
-        """Call `done` once, from the loop, with what stood in the way."""
+        """Connect, and call `done` once from the event loop, with the error if there was one."""
         code = self.sock.connect_ex(self.address)
         if code not in (0, errno.EINPROGRESS):
             self.loop.call_soon(self._connected, done, code)
@@ -34,7 +37,7 @@
         self.connecting(done)
 
     def connecting(self, done: Callable[[OSError | None], None]) -> None:
-        """As connect, of a socket that is about it already."""
+        """As `connect`, for a socket that is connecting already."""
         self.network.on_writable(self.sock, self._connected, done, None)
 
     def _connected(self, done: Callable[[OSError | None], None], code: int | None) -> None:
@@ -54,15 +57,15 @@
         done(None)
 
     def stale(self) -> bool:
-        """Whether the other side has ended this idle connection; what is unread counts as well."""
+        """Whether this idle connection can't be used: the peer has closed it, or sent unrequested bytes."""
         return self.closed or self._peek() is not None
 
     def ended(self) -> bool:
-        """Whether the other side has ended this connection, with nothing left to be read."""
+        """Whether the peer has closed this connection and nothing is left to be read."""
         return self.closed or self._peek() == b""
 
     def _peek(self) -> bytes | None:
-        """What is to be read next, b"" at the end, None while nothing has come."""
+        """The next byte, b"" at the end of the connection, None if there is nothing to read."""
         try:
             return self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
@@ -74,8 +77,11 @@
         raise NotImplementedError
 
     def abort(self) -> None:
-        """Close it, and let go of what the system still holds of a request: it would go on sending that for
-        minutes, and a call that was given up would begin when the network is back."""
+        """Reset the connection, so that the kernel discards what it has not sent yet.
+
+        It would retransmit the rest of a request for minutes, and a call that was given up would begin when
+        the network is back.
+        """
         with contextlib.suppress(OSError):
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         self.close()
--- a/madderbeam/transport/http.py
+++ b/madderbeam/transport/http.py
@@ -1,8 +1,8 @@
-"""One HTTP/1.1 client connection on a non-blocking socket, httptools (llhttp) for reading answers.
+"""One HTTP/1.1 client connection on a non-blocking socket; httptools (llhttp) parses the responses.
 
 A courier must know whether a request's last byte was written: before that, the call has provably never run.
-asyncio's transports hide it (a failed write looks like a whole one), so the socket is driven here.
-Nothing is ever sent again by itself, and a connection on which anything odd came is never used again.
+asyncio's transports hide this (a failed write looks like a complete one), so the socket is used directly.
+Nothing is retried here, and a connection that received anything unexpected is not used again.
 """
 
 from __future__ import annotations
@@ -20,117 +20,136 @@
 
 Headers = Sequence[tuple[str, str]]
 LOCAL_ERRORS = NO_FILES | {errno.EADDRNOTAVAIL}
-MAX_HEAD = 1 << 15  # bytes of an answer before its head is whole
-MAX_INTERIM = 16  # 1xx answers ahead of one
+MAX_HEAD = 1 << 15  # bytes of a response until its headers are complete
+MAX_INTERIM = 16  # 1xx responses ahead of one
 
 
 class Exchange:
-    """What one request is told of its answer; the methods here ignore all."""
+    """The events of one request and its response; the methods here ignore them all."""
 
     def held_back(self) -> bool:
-        """There is room for a further part of the request: whether none may be written any more, and the
-        connection is closed. Before its last byte a call can't begin."""
+        """The socket takes a further part of the request: whether it must not be written any more.
+
+        The connection is closed then. A call can't begin before its last byte.
+        """
         return False
 
     @property
     def wanted(self) -> bool:
-        """Whether all that it carries may still be written."""
+        """Whether the whole request may still be written."""
         return True
 
     def written_whole(self) -> None:
-        """The request's last byte has been handed to the system."""
+        """The request's last byte has been handed to the kernel."""
 
     def begun(self) -> None:
-        """A first part of the answer has come, not all of it, and not of a 1xx one ahead of it."""
+        """A first part of the response has been received, but not all of it; 1xx responses do not count."""
 
     def first_line(self, status: int) -> None:
-        """The status line has come whole, of the answer itself and not of a 1xx one ahead of it."""
+        """The status line has been received; 1xx responses do not count."""
 
     def head(self, status: int, headers: dict[str, str]) -> None:
-        """The headers are whole."""
+        """The headers are complete."""
 
     def data(self, data: bytes) -> None:
-        """A part of the body has come."""
+        """A part of the body has been received."""
 
     def end(self, noise: bool) -> None:
-        """The answer is whole; noise: what came right behind it is no answer."""
+        """The response is complete; `noise`: bytes followed it that are no response."""
 
     def lost(self, written: bool) -> None:
-        """The connection broke or ended first; written: the request's last byte had been written."""
+        """The connection broke or ended first; `written`: the request's last byte had been written."""
 
     def spoilt(self) -> None:
-        """The answer can't be read; the connection is closed."""
+        """The response is malformed; the connection is closed."""
         self.lost(True)
 
 
-class Answer:
-    """httptools' callbacks for one answer; what follows it is only noted."""
+class ResponseReader:
+    """httptools' callbacks for one response; what follows it is only noted."""
 
     def __init__(self, exchange: Exchange) -> None:
         self.exchange, self.parser = exchange, httptools.HttpResponseParser(self)
         self.headers: dict[str, str] = {}
-        self.interim = self.status = 0
-        self.part = self.begun = self.headed = self.whole = self.again = False
-        self.early = False  # it began before its request was written whole: it tells of no run
-        self.more = self.copied = False  # something follows; and it is an answer too
+        self.interim_count = 0  # 1xx responses ahead of it
+        self.status = 0
         self.head_bytes = 0
-
-    def let_go(self) -> None:
-        """Nothing more is read of it: it and its parser hold each other."""
+        self.has_started = False  # a part of it, or of a 1xx one ahead of it, has come
+        self.is_start_reported = False
+        self.has_headers = False
+        self.is_complete = False
+        self.may_keep_alive = False
+        self.began_early = False  # before its request was written whole: it does not show that this has run
+        self.has_trailing_data = False
+        self.is_trailing_response = False  # what follows is a response, too
+
+    def release(self) -> None:
+        """Break the reference cycle with the parser; nothing more is read."""
         del self.parser
 
     @property
-    def framed(self) -> bool:
+    def has_framing(self) -> bool:
+        """Whether its own headers tell where it ends."""
         return "content-length" in self.headers or "transfer-encoding" in self.headers
 
     def on_message_begin(self) -> None:
-        self.part, self.more = True, self.whole
-        if not self.more:
+        """Callback of httptools."""
+        self.has_started, self.has_trailing_data = True, self.is_complete
+        if not self.has_trailing_data:
             self.headers = {}
 
     def on_status(self, _: bytes) -> None:
-        self.copied = self.more
+        """Callback of httptools."""
+        self.is_trailing_response = self.has_trailing_data
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.more and not self.headed:  # what trails the body says nothing of the outcome
+        """Callback of httptools. Trailers behind the body are ignored."""
+        if not self.has_trailing_data and not self.has_headers:
             key, text = name.decode("latin-1").lower(), value.decode("latin-1")
             self.headers[key] = f"{self.headers[key]}, {text}" if key in self.headers else text
 
     def on_headers_complete(self) -> None:
-        if self.more or self.parser.get_status_code() < 200:
+        """Callback of httptools."""
+        if self.has_trailing_data or self.parser.get_status_code() < 200:
             return
-        self.headed = True
+        self.has_headers = True
         self.exchange.head(self.status, self.headers)
 
     def on_body(self, data: bytes) -> None:
-        if self.headed and not self.more:
+        """Callback of httptools."""
+        if self.has_headers and not self.has_trailing_data:
             self.exchange.data(data)
 
     def on_message_complete(self) -> None:
-        if self.more:
+        """Callback of httptools."""
+        if self.has_trailing_data:
             return
-        if not self.headed:
-            self.interim, self.part = self.interim + 1, False
+        if not self.has_headers:
+            self.interim_count, self.has_started = self.interim_count + 1, False
             return
-        self.whole, self.again = True, self.parser.should_keep_alive()
+        self.is_complete, self.may_keep_alive = True, self.parser.should_keep_alive()
 
     def feed(self, data: memoryview) -> bool:
-        """Whether it can still be read."""
+        """Parse what has come; return whether the response can still be read."""
         try:
             self._parse(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.more = self.more or self.whole
-            return self.whole
-        if not self.headed:
+            self.has_trailing_data = self.has_trailing_data or self.is_complete
+            return self.is_complete
+        if not self.has_headers:
             self.head_bytes += len(data)
-        # A 1xx one tells that the answer is still to come.
-        if self.part and not self.begun and not self.whole and self.parser.get_status_code() // 100 != 1:
-            self.begun = True
+        self._report_start()
+        return self.interim_count <= MAX_INTERIM and self.head_bytes <= MAX_HEAD
+
+    def _report_start(self) -> None:
+        """Report the first part of the response itself, unless it is complete; a 1xx one is not it."""
+        is_interim = self.parser.get_status_code() // 100 == 1
+        if self.has_started and not self.is_start_reported and not self.is_complete and not is_interim:
+            self.is_start_reported = True
             self.exchange.begun()
-        return self.interim <= MAX_INTERIM and self.head_bytes <= MAX_HEAD
 
     def _parse(self, data: memoryview) -> None:
-        """By lines up to the first one of the answer itself, which tells nothing until it is whole."""
+        """Parse by lines up to the status line of the response itself, which is reported once it is whole."""
         text, at = b"" if self.status else bytes(data), 0
         while not self.status and at < len(text):
             end = text.find(b"\n", at) + 1
@@ -139,61 +158,66 @@
             status = self.parser.get_status_code()
             if end and status >= 200:
                 self.status = status
-                if not self.early:
+                if not self.began_early:
                     self.exchange.first_line(status)
         if at < len(data):
             self.parser.feed_data(data[at:])
 
 
-def nothing() -> None:
-    """Nobody wants to hear of it."""
+def do_nothing() -> None:
+    """The default callback."""
 
 
 class Connection(Dialed):
-    """Carries one exchange at a time. One that is closed refers to nothing that refers to it: a courier that
-    runs for days must not wait for the collector, and the request that it carried is let go with it."""
+    """Carries one exchange at a time.
+
+    A closed connection is part of no reference cycle, so that it and the request that it carried are freed at
+    once and not by the garbage collector.
+    """
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, network: Network, address: Address, sock: Socket | None = None
     ) -> None:
-        """`sock`: one that is connected, or about to be, in place of a new one."""
-        super().__init__(loop, network, address, sock)  # OSError: see LOCAL_ERRORS
-        self.answer: Answer | None = None
-        self.on_close: Callable[[], None] = nothing
+        """`sock`: a socket that is connected or connecting; by default a new one, or OSError (LOCAL_ERRORS)."""
+        super().__init__(loop, network, address, sock)
+        self.answer: ResponseReader | None = None
+        self.on_close: Callable[[], None] = do_nothing
         self.reading = False
-        self.unasked = False  # bytes came ahead of the request: what they tell is no answer to it
+        self.unasked = False  # bytes came ahead of the request: they are no response to it
         self._out, self._sent = b"", 0
 
     @property
     def exchange(self) -> Exchange | None:
+        """The current exchange, if any."""
         return self.answer.exchange if self.answer else None
 
     @property
     def written(self) -> bool:
+        """Whether nothing of a request is left to be written."""
         return self._sent == len(self._out)
 
     @property
     def midway(self) -> bool:
-        """A part of the answer has come, or nothing is asked yet though it is connected."""
-        return self.connected and (self.answer is None or self.answer.part)
+        """Whether a part of the response has been received, or it is connected without a request."""
+        return self.connected and (self.answer is None or self.answer.has_started)
 
     @property
     def rest(self) -> bytes:
-        """What is still to be written of the request."""
+        """The part of the request that is not written yet."""
         return self._out[self._sent :]
 
     def resume(self, rest: bytes, exchange: Exchange) -> None:
-        """Go on with a request that another process began; nothing of its answer had been read."""
-        self.connected, self.answer = True, Answer(exchange)
+        """Continue a request that another process began, and of whose response nothing has been read."""
+        self.connected, self.answer = True, ResponseReader(exchange)
         self.network.on_readable(self.sock, self._readable)
         self._out, self._sent = rest, 0
         if rest:
             self._more()
 
     def request(self, method: str, target: str, headers: Headers, body: bytes, exchange: Exchange) -> None:
-        """Send one; what comes from clients into its headers was checked to be printable when it came."""
-        self.answer = Answer(exchange)
-        self.answer.early = self.unasked
+        """Send a request. Header values that come from clients were checked to be printable at acceptance."""
+        self.answer = ResponseReader(exchange)
+        self.answer.began_early = self.unasked
         lines = [
             f"{method} {target} HTTP/1.1",
             f"Host: {self.address[0]}:{self.address[1]}",
@@ -215,11 +239,11 @@
         except BlockingIOError:
             pass
         except OSError:
-            self.look()  # an answer may have come ahead of the end; a wait that it tells binds
+            self.look()  # a response may have come before the connection broke; its Retry-After counts
             self._lose()
             return
         if self.written:
-            self._out, self._sent = b"", 0  # it may have tens of kilobytes, and the connection is kept
+            self._out, self._sent = b"", 0  # a kept connection does not hold a large request
             self.network.off_writable(self.sock)
             if self.answer is not None:
                 self.answer.exchange.written_whole()
@@ -227,7 +251,7 @@
             self.network.on_writable(self.sock, self._more)
 
     def look(self) -> None:
-        """Read what has come by now, if anything has."""
+        """Read what has been received by now, if anything has."""
         if self.connected and not self.closed and not self.reading:
             self._readable()
 
@@ -239,38 +263,38 @@
         except OSError:
             data = NOTHING
         answer = self.answer
-        if answer is None:  # an end, or bytes that nobody asked for
+        if answer is None:  # the end of the connection, or unrequested bytes
             self.close()
             return
-        answer.early = answer.early or not self.written
+        answer.began_early = answer.began_early or not self.written
         self.reading = True
         try:
             self._read(answer, data)
         finally:
             self.reading = False
             if self.answer is not answer:
-                answer.let_go()
+                answer.release()
 
-    def _read(self, answer: Answer, data: memoryview) -> None:
+    def _read(self, answer: ResponseReader, data: memoryview) -> None:
         if not data:
-            # With no length and no chunks, the connection's end is the answer's.
-            if answer.headed and not answer.framed:
+            # Without Content-Length and chunks, the response ends with the connection.
+            if answer.has_headers and not answer.has_framing:
                 self._ended(answer)
             else:
                 self._lose()
         elif not answer.feed(data):
             self._spoil()
-        elif answer.whole and not self.closed:
+        elif answer.is_complete and not self.closed:
             self._ended(answer)
 
-    def _ended(self, answer: Answer) -> None:
-        if answer.early and answer.status < 400:
+    def _ended(self, answer: ResponseReader) -> None:
+        if answer.began_early and answer.status < 400:
             self._spoil()
             return
         self.answer = None
-        if not self.written or not answer.again or answer.more:
+        if not self.written or not answer.may_keep_alive or answer.has_trailing_data:
             self.close()
-        answer.exchange.end(answer.more and not answer.copied)
+        answer.exchange.end(answer.has_trailing_data and not answer.is_trailing_response)
 
     def _spoil(self) -> None:
         exchange, written = self.exchange, self.written
@@ -285,14 +309,14 @@
             exchange.lost(written)
 
     def close(self) -> None:
-        """End the connection; its exchange hears no more."""
+        """Close the connection; its exchange gets no further events."""
         if self.closed:
             return
         self.closed, answer, self.answer = True, self.answer, None
         if answer is not None and not self.reading:
-            answer.let_go()
+            answer.release()
         self.network.off_readable(self.sock)
         self.network.off_writable(self.sock)
         self.sock.close()
-        on_close, self.on_close = self.on_close, nothing
+        on_close, self.on_close = self.on_close, do_nothing
         on_close()
--- a/madderbeam/transport/kafka/partner.py
+++ b/madderbeam/transport/kafka/partner.py
@@ -17,7 +17,7 @@
 
 from madderbeam.ports import Address, Network, Socket
 from madderbeam.transport.dialing import Dialed
-from madderbeam.transport.http import Exchange, Headers, nothing
+from madderbeam.transport.http import Exchange, Headers, do_nothing
 from madderbeam.transport.kafka import schemas
 from madderbeam.transport.kafka.codec import Malformed, Reader, Writer, decode, encode
 from madderbeam.transport.kafka.connection import FrameReader
@@ -40,7 +40,7 @@
         self.lost = lost
         self.reader, self.out, self.number = FrameReader(), b"", 0
         self.waiting: tuple[int, Api, int, Callable[[dict[str, Any]], None]] | None = None
-        self.written: Callable[[], None] = nothing
+        self.written: Callable[[], None] = do_nothing
 
     def ask(
         self,
@@ -48,7 +48,7 @@
         version: int,
         values: dict[str, Any],
         told: Callable[[dict[str, Any]], None],
-        written: Callable[[], None] = nothing,
+        written: Callable[[], None] = do_nothing,
     ) -> None:
         """Send one request; `told` gets its answer."""
         self.number += 1
@@ -76,7 +76,7 @@
             self.network.on_writable(self.sock, self._write)
         else:
             self.network.off_writable(self.sock)
-            written, self.written = self.written, nothing
+            written, self.written = self.written, do_nothing
             written()
 
     def _readable(self) -> None:
@@ -124,7 +124,7 @@
     def close(self) -> None:
         if self.closed:
             return
-        self.closed, self.waiting, self.written = True, None, nothing
+        self.closed, self.waiting, self.written = True, None, do_nothing
         self.network.off_readable(self.sock)
         self.network.off_writable(self.sock)
         self.sock.close()
@@ -140,7 +140,7 @@
         self.loop, self.network, self.address, self.topic = loop, network, address, topic
         self.may_write = may_write
         self.exchange: Exchange | None = None
-        self.on_close: Callable[[], None] = nothing
+        self.on_close: Callable[[], None] = do_nothing
         self.closed = self.connected = self.written = False
         self.versions = {schemas.PRODUCE.key: schemas.PRODUCE.least, schemas.METADATA.key: 1}
         self.leaders: list[Address] = []  # by partition
@@ -343,8 +343,8 @@
         self.closed, self.exchange, self._failed = True, None, None
         for link in self.links.values():
             link.close()
-            link.lost = nothing
-        on_close, self.on_close = self.on_close, nothing
+            link.lost = do_nothing
+        on_close, self.on_close = self.on_close, do_nothing
         on_close()
 
 
