--- a/madderbeam/transport/http.py
+++ b/madderbeam/transport/http.py
@@ -178,7 +178,7 @@
     def __init__(
         self, loop: asyncio.AbstractEventLoop, network: Network, address: Address, sock: Socket | None = None
     ) -> None:
-        """`sock`: a socket that is connected or connecting; by default a new one, or OSError (LOCAL_ERRORS)."""
+        """`sock`: a socket that is connected or connecting; by default a new one. OSError: LOCAL_ERRORS."""
         super().__init__(loop, network, address, sock)
         self.answer: ResponseReader | None = None
         self.on_close: Callable[[], None] = do_nothing
