--- a/tests/simulation/planted_federation.py
+++ b/tests/simulation/planted_federation.py
@@ -227,7 +227,7 @@
     patch.setattr(host_custody, "Put", lambda *fields, relayed: Put(*fields))
 
 
-@bug(1151, "F4")
+@bug(1615, "F4")
 def a_credit_acks_what_was_never_told(patch):
     def credit(self, event):
         self.credit = event
