Logs and metrics: unsolicited, unreadable and mismatched responses, with ids and history

Change: each such response is logged with its messages and the connection's newest request and response; four counters on the second address, on the operators' page. Before a connection is used again, what has come there is read and told, not only noticed.

--- a/madderbeam/host/host.py
+++ b/madderbeam/host/host.py
@@ -269,7 +269,9 @@
     def metrics_text(self) -> str:
         """Return all metrics as text, one name=value a line."""
         avoided = self.registry.disabled_numbers.union(self.courier.ejected_endpoints())
-        more = self.routing.metrics()
+        more = self.routing.metrics() | self.calls.counters.metrics()
+        if isinstance(self.notices, Notices):
+            more["responses.discovery_unsolicited"] = self.notices.unsolicited
         for component in self.components:
             more |= component.metrics()
         ejected = sum(number in self.registry.entries for number in avoided)
--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -17,6 +17,7 @@
 from madderbeam.policy.events import AttemptResult
 from madderbeam.ports import Address, Network, Socket
 from madderbeam.transport.http import LOCAL_ERRORS, Connection, Exchange, do_nothing
+from madderbeam.transport.response_ledger import UNSOLICITED_LOGGED_BYTES, ResponseCounters
 
 IDLE_SHARE = 0.75  # idle connections are closed at this share of the time at which the endpoint would
 IDLE_EACH = 8  # idle connections kept to one endpoint
@@ -237,12 +238,13 @@
             wait = told_wait(self.headers)
             ends = bundle_outcomes(bytes(self.body), wait)
             if any(item.id not in ends for item in self.items):
-                self.calls.strange(self.endpoint)
+                self.calls.counters.mismatched += bool(ends)
+                self.calls.strange(self.endpoint, self, f"names {','.join(ends) or 'no message'}")
             for item in self.items:
                 # One that the answer leaves out may have run.
                 self.finish(item, ends.get(item.id, Outcome(AttemptResult.ERROR, wait_us=wait, spoilt=True)))
         elif noise:
-            self.calls.strange(self.endpoint)
+            self.calls.strange(self.endpoint, self, "is followed by bytes that are no response")
             self.finish_all(Outcome(AttemptResult.ERROR, wait_us=told_wait(self.headers), spoilt=True))
         else:
             self.finish_all(single_outcome(self.status, self.headers))
@@ -250,7 +252,7 @@
 
     def spoilt(self) -> None:
         """A failed attempt that may have run."""
-        self.calls.strange(self.endpoint)
+        self.calls.strange(self.endpoint, self, "is malformed or incomplete")
         if self.path:
             self.calls.probe_ended(self, AttemptResult.ERROR)
         self.finish_all(Outcome(AttemptResult.ERROR, wait_us=told_wait(self.headers), spoilt=True))
@@ -329,6 +331,7 @@
         self.opened = self.reused = 0
         self.places: Places | None = None
         self.busy: Counter[int] = Counter()  # calls out by endpoint, where places are shared
+        self.counters = ResponseCounters()
 
     def place(self, endpoint: int, address: Address, topic: str = "", dest: int = 0) -> None:
         """Where the endpoint is; one that moved gets new connections, and nothing that was meant for it where
@@ -342,8 +345,14 @@
         self.close_idle(endpoint)
         self.pools.pop(endpoint, None)
 
-    def strange(self, endpoint: int) -> None:
-        """An answer from there could not be read: told once, however many follow."""
+    def strange(self, endpoint: int, call: Call, what: str) -> None:
+        """An answer from there could not be read: warned of once, however many follow; each one is logged."""
+        self.counters.unreadable += 1
+        ids = ",".join(item.id for item in call.items) or "a probe"
+        history = call.connection.ledger.describe(self.loop.time()) if call.connection else "no connection"
+        log.info(
+            "endpoint %d: the response to %s (status %d) %s; %s", endpoint, ids, call.status, what, history
+        )
         pool = self.pools.get(endpoint)
         if pool is not None and not pool.strange:
             pool.strange = True
@@ -461,16 +470,18 @@
             self._unsent(call, AttemptResult.NOT_SENT)
             return
         while pool.idle and not any(item.fresh for item in call.items):
-            connection = pool.idle.pop()
+            connection = pool.idle[-1]
+            connection.look()  # it closes, and leaves the pool, if anything has come
+            if connection.closed:
+                continue
+            pool.idle.pop()
             pool.timers.pop(connection).cancel()
             self.idle -= 1
             connection.on_close = do_nothing
-            if not connection.stale():
-                self.reused += 1
-                self._wait(call, fresh=False)
-                self._write(call, connection)
-                return
-            connection.close()
+            self.reused += 1
+            self._wait(call, fresh=False)
+            self._write(call, connection)
+            return
         self._wait(call, fresh=True)
         try:
             connection = self._connection(pool)
@@ -631,6 +642,7 @@
             return
         for item in items:
             item.begun = True
+        connection.ledger.request_started(tuple(item.id for item in items))
         if call.path:
             connection.request("GET", call.path, [], b"", call)
         elif len(items) == 1:
@@ -695,6 +707,7 @@
             return
         self._drop(call)
         if call.connection is not None:
+            call.connection.ledger.response_completed(self.loop.time())
             self._keep(call.endpoint, call.connection)
 
     def _keep(self, endpoint: int, connection: Connection) -> None:
@@ -720,3 +733,14 @@
             self.idle -= 1
             pool.timers.pop(connection).cancel()
             pool.idle.remove(connection)
+        if connection.unsolicited:
+            self._report_unsolicited(connection)
+
+    def _report_unsolicited(self, connection: Connection) -> None:
+        self.counters.unsolicited += 1
+        log.warning(
+            "endpoint at %s:%d: unsolicited response %r, its connection is closed; %s",
+            *connection.address,
+            connection.unsolicited[:UNSOLICITED_LOGGED_BYTES],
+            connection.ledger.describe(self.loop.time()),
+        )
--- a/madderbeam/transport/discovery.py
+++ b/madderbeam/transport/discovery.py
@@ -71,6 +71,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.backoff = Backoff(chance)
         self.patience = CONNECT_S  # seconds for a connection to come up
+        self.unsolicited = 0  # responses on a connection with no request in flight
         self.stopped = False
 
     def after(self, delay: float, action: Callable[[], None]) -> None:
@@ -85,8 +86,9 @@
         if self.connection is not None:
             self.connection.close()
         try:
-            self.connection = Connection(self.loop, self.network, self.address)
-            self.connection.connect(self._connected)
+            connection = self.connection = Connection(self.loop, self.network, self.address)
+            connection.on_close = lambda: self._connection_closed(connection)
+            connection.connect(self._connected)
         except OSError as error:
             log.warning("discovery: %s", error)
             self.after(self.backoff.next(), self.open)
@@ -99,6 +101,13 @@
         else:
             self.ready()
 
+    def _connection_closed(self, connection: Connection) -> None:
+        if connection.unsolicited:
+            self.unsolicited += 1
+            log.warning(
+                "discovery: unsolicited response %r, its connection is closed", connection.unsolicited
+            )
+
     def ready(self) -> None:
         raise NotImplementedError
 
--- a/madderbeam/transport/http.py
+++ b/madderbeam/transport/http.py
@@ -17,6 +17,7 @@
 from madderbeam.transport.descriptors import NO_FILES
 from madderbeam.transport.dialing import Dialed
 from madderbeam.transport.reading import NOTHING, read
+from madderbeam.transport.response_ledger import UNSOLICITED_KEPT_BYTES, ResponseLedger
 
 Headers = Sequence[tuple[str, str]]
 LOCAL_ERRORS = NO_FILES | {errno.EADDRNOTAVAIL}
@@ -182,6 +183,8 @@
         super().__init__(loop, network, address, sock)
         self.answer: ResponseReader | None = None
         self.on_close: Callable[[], None] = do_nothing
+        self.ledger = ResponseLedger()
+        self.unsolicited = b""  # the first bytes that came with no request in flight
         self.reading = False
         self.unasked = False  # bytes came ahead of the request: they are no response to it
         self._out, self._sent = b"", 0
@@ -263,7 +266,8 @@
         except OSError:
             data = NOTHING
         answer = self.answer
-        if answer is None:  # the end of the connection, or unrequested bytes
+        if answer is None:  # the end of the connection, or unsolicited bytes
+            self.unsolicited = bytes(data[:UNSOLICITED_KEPT_BYTES])
             self.close()
             return
         answer.began_early = answer.began_early or not self.written
--- a/madderbeam/transport/kafka/partner.py
+++ b/madderbeam/transport/kafka/partner.py
@@ -26,6 +26,7 @@
 from madderbeam.transport.kafka.schemas import Api
 from madderbeam.transport.reading import read
 from madderbeam.transport.resp import FramingError
+from madderbeam.transport.response_ledger import ResponseLedger
 
 MOST_WAIT_MS = 120_000
 MOST_PARTITIONS = 10_000
@@ -141,6 +142,7 @@
         self.may_write = may_write
         self.exchange: Exchange | None = None
         self.on_close: Callable[[], None] = do_nothing
+        self.ledger = ResponseLedger()
         self.closed = self.connected = self.written = False
         self.versions = {schemas.PRODUCE.key: schemas.PRODUCE.least, schemas.METADATA.key: 1}
         self.leaders: list[Address] = []  # by partition
@@ -150,6 +152,7 @@
 
     midway = True  # a call that is out is not passed on to another process
     rest = b""
+    unsolicited = b""  # a response that nobody asked for breaks the connection
 
     @property
     def sock(self) -> Socket:
