Calls: tell copies of a response by their content, and keep what stays in doubt open

Cause: HTTP/1.1 names no request in a response, and the courier took whatever came for the response to the request in flight, concluded at once (over; never ran), and used the connection again, so that one copy shifted all later responses. What may not run twice goes only where no copy is to be expected.

--- a/madderbeam/policy/engine.py
+++ b/madderbeam/policy/engine.py
@@ -195,7 +195,7 @@
     def _start_order_cooldown(self, message: Message, event: AttemptEnded) -> None:
         """Have the next message of an order wait behind a call that may still run."""
         state = self.state
-        may_still_run = event.malformed or event.result in MAY_STILL_RUN
+        may_still_run = event.malformed or event.may_have_run or event.result in MAY_STILL_RUN
         if may_still_run and message.order_key and state.settings.order_key_cooldown_us:
             # Behind all others: they end in the order of the dict.
             state.order_cooldowns.pop(message.order_key, None)
--- a/madderbeam/policy/events.py
+++ b/madderbeam/policy/events.py
@@ -112,6 +112,7 @@
     retry_after_us: int = 0  # with OVERLOADED: the Retry-After, 0 if there was none
     on_new_connection: bool | None = None  # None: the host can't tell
     malformed: bool = False  # with ERROR: a response came that can't be parsed
+    may_have_run: bool = False  # whatever the result says: it rests on a response that may be another's
 
 
 @dataclass(frozen=True, slots=True)
--- a/madderbeam/policy/retries.py
+++ b/madderbeam/policy/retries.py
@@ -29,7 +29,8 @@
         if message.is_completed or event.message_completed or message.is_streaming:
             self.completer.remove(message)
             return
-        if event.result not in NEVER_EXECUTED and message.possibly_executed_at_us < 0:
+        may_have_run = event.may_have_run or event.result not in NEVER_EXECUTED
+        if may_have_run and message.possibly_executed_at_us < 0:
             message.possibly_executed_at_us = call.sent_at_us
             message.possibly_executed_zone = call.endpoint.zone
         if message.in_flight:
--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -9,22 +9,35 @@
 import json
 import logging
 import math
+import zlib
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Protocol
 
 from madderbeam.policy.events import AttemptResult
 from madderbeam.ports import Address, Network, Socket
-from madderbeam.transport.http import LOCAL_ERRORS, Connection, Exchange, do_nothing
-from madderbeam.transport.response_ledger import UNSOLICITED_LOGGED_BYTES, ResponseCounters
+from madderbeam.transport.http import LOCAL_ERRORS, Connection, Exchange, do_nothing, headers_of
+from madderbeam.transport.response_content import EndpointContents, Origin, head_checksum
+from madderbeam.transport.response_ledger import (
+    SETTLE_MIN_S,
+    UNSOLICITED_LOGGED_BYTES,
+    ResponseCounters,
+    Unconfirmed,
+    UsualLatency,
+    Verdicts,
+)
 
 IDLE_SHARE = 0.75  # idle connections are closed at this share of the time at which the endpoint would
 IDLE_EACH = 8  # idle connections kept to one endpoint
 TAIL_S = 0.5  # an answer that has begun must be whole within this: one that can't end would hold its slot
 MAX_ANSWER = 64 * 1024  # bytes of its body, as the protocol has it
 SLOW_S = 0.02  # from a call's choice to its first byte; a wait that was told binds 100 ms later
+PROMPT_S = 0.005  # from an endpoint that answers within this, one more response would come before any retry
+SETTLE_AGAIN_S = 0.05  # a delivery in doubt is looked at again, while another request is in flight
+COPIES_REMEMBERED_S = 30.0  # behind the last copy seen at an endpoint
 MAX_WAIT_S = 120.0  # a told wait over this is none that a destination would tell
+NEVER_EXECUTED = (AttemptResult.OVERLOADED, AttemptResult.NOT_SENT)  # as a response may say
 ANSWERS = (200, 400, 410, 413, 429, 500, 503, 504)  # that PROTOCOL names
 STATES = {
     "done": AttemptResult.OK,
@@ -49,6 +62,7 @@
     fresh_timeout_us: int = 0  # on a new connection, 0: the same
     fresh: bool = False  # only a new connection will do; then: it is on one
     begun: bool = False  # its first byte may have been written
+    is_repeatable: bool = True  # else it goes only where no copy of an earlier response is to be expected
     ended: bool = False
 
 
@@ -60,6 +74,8 @@
     over: bool = False  # nothing more is owed for the message
     wait_us: int = 0  # a told wait
     spoilt: bool = False  # an answer came, but it could not be read
+    may_have_run: bool = False  # whatever the result says: the response may be a copy of an earlier one
+    is_unconfirmed: bool = False  # with OK: `confirmed` or `revoked` follows
 
 
 @dataclass
@@ -74,6 +90,8 @@
     probed: Callable[[int, AttemptResult, int], None]
     # Its attempt had ended by its time-out; now it is known to be over.
     late: Callable[[Item, Outcome], None]
+    confirmed: Callable[[Item], None] = lambda item: None  # an unconfirmed delivery is one
+    revoked: Callable[[Item], None] = lambda item: None  # it may be none
     told_load: Callable[[int, dict[str, float]], None] = lambda endpoint, load: None  # a report came
     waited: Callable[[int], bool] = lambda endpoint: False  # a told wait runs there
     forwarded: Callable[[int], None] = lambda messages: None  # so many were written whole
@@ -101,6 +119,13 @@
     idle: list[Connection] = field(default_factory=list)  # the most recently used last
     timers: dict[Connection, asyncio.TimerHandle] = field(default_factory=dict)
     strange: bool = False  # an answer from there could not be read, which was told
+    usual: UsualLatency = field(default_factory=UsualLatency)
+    contents: EndpointContents = field(default_factory=EndpointContents)
+    copy_seen_at_s: float = -math.inf  # on the event loop's clock
+
+    def is_copy_seen(self, now_s: float) -> bool:
+        """Whether a copy of a response was seen there lately."""
+        return now_s - self.copy_seen_at_s < COPIES_REMEMBERED_S
 
 
 def single_outcome(status: int, headers: dict[str, str]) -> Outcome:
@@ -153,6 +178,15 @@
     return {i: Outcome(r, i in voids, wait_us) for i, r in states.items()}
 
 
+def without_proof(outcome: Outcome) -> Outcome:
+    """What the response proves if it may be a copy of an earlier one."""
+    if outcome.result is AttemptResult.OK:
+        return outcome
+    if outcome.over:
+        return Outcome(AttemptResult.ERROR, wait_us=outcome.wait_us, spoilt=True)
+    return replace(outcome, may_have_run=outcome.result in NEVER_EXECUTED)
+
+
 class Call(Exchange):
     """One call in flight, until each of its items has ended."""
 
@@ -169,11 +203,26 @@
         self.bundled = len(items) > 1
         self.write_by = math.inf  # the loop's time at which its last byte has to be written
         self.sent = False  # its last byte was written: only then may it have run
+        self.written_at = self.started
+        self.is_doubtful = False  # its response may be a copy of an earlier one
+        self.was_suspect = False  # its connection, as the response came
+        self.is_partial = False  # a first part of its response came alone
+        self.is_success = False  # the first line said so, of a single message
+        self.is_delivered = False
+        self.unconfirmed: Unconfirmed[Item] | None = None  # its delivery, if that is in doubt
+        self.checksum = 0  # of its response
+        self.is_distinctive = False  # a later response that is equal is a copy of this one
+        self.is_complete = False  # its response
 
     @property
     def latency_us(self) -> int:
         return int((self.calls.loop.time() - self.started) * 1e6)
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether it does no harm if its response turns out to be another request's."""
+        return bool(self.items) and all(item.is_repeatable for item in self.items)
+
     @property
     def open(self) -> bool:
         return any(not i.ended for i in self.items)
@@ -201,26 +250,41 @@
         return True
 
     def written_whole(self) -> None:
-        self.sent = True
+        self.sent, self.written_at = True, self.calls.loop.time()
         self.calls.hooks.forwarded(len(self.items))
 
     def begun(self) -> None:
+        self.is_partial = True
         self.timer(TAIL_S, self.drop)
+        self._deliver_early()
 
     def first_line(self, status: int) -> None:
+        self.is_success = status == 200 and not self.path and not self.bundle
+        if self.is_partial:
+            self._deliver_early()
+
+    def _deliver_early(self) -> None:
         """200 in the first line is true whatever follows, for a call with one message."""
-        if status == 200 and not self.path and not self.bundle:
-            self.finish_all(Outcome(AttemptResult.OK, over=True))
+        if self.is_success and not self.is_delivered:
+            self.calls.delivered(self, Origin.UNKNOWN)
 
     def head(self, status: int, headers: dict[str, str]) -> None:
         self.status, self.headers = status, headers
-        if wait := told_wait(headers):
-            self.calls.hooks.told_wait(self.endpoint, wait)
+        self.checksum = head_checksum(status, headers)
+        if not self.is_success:
+            self.is_doubtful = self.calls.doubts(self)
+        self._heed_wait(headers)
         if load := told_load(headers):
             self.calls.hooks.told_load(self.endpoint, load)
 
+    def _heed_wait(self, headers: dict[str, str]) -> None:
+        """A wait binds whichever request it was told to."""
+        if wait := told_wait(headers):
+            self.calls.hooks.told_wait(self.endpoint, wait)
+
     def data(self, data: bytes) -> None:
         self.received += len(data)
+        self.checksum = zlib.crc32(data, self.checksum)
         if self.bundle and self.received <= MAX_ANSWER:
             self.body += data
         elif self.received > MAX_ANSWER and self.connection is not None:
@@ -230,28 +294,73 @@
     def end(self, noise: bool) -> None:
         """Whole and well formed: only now does an answer prove that the call never ran, or that it is over.
         Behind a length that is too short the rest of the answer looks like noise, so with that it is none."""
+        self.is_complete = True
+        origin = self.calls.origin(self)
+        if origin is Origin.COPY:
+            self._ignore_copy()
+            return
+        if self.is_success and not self.is_delivered:
+            self.calls.delivered(self, origin)
+        elif origin is Origin.OWN:
+            self.calls.clear_doubt(self)
+        if self.is_success and not self.is_doubtful and self.pool is not None:
+            self.is_distinctive = self.pool.contents.add(self.checksum)
         if self.status not in ANSWERS and self.connection is not None:
             self.connection.abort()  # perhaps an unasked 408: the next call would get the answer of this one
         if self.path:
             self.calls.probe_ended(self, AttemptResult.OK if self.status == 200 else AttemptResult.OVERLOADED)
         elif self.status == 200 and self.bundle:
-            wait = told_wait(self.headers)
-            ends = bundle_outcomes(bytes(self.body), wait)
-            if any(item.id not in ends for item in self.items):
-                self.calls.counters.mismatched += bool(ends)
-                self.calls.strange(self.endpoint, self, f"names {','.join(ends) or 'no message'}")
-            for item in self.items:
-                # One that the answer leaves out may have run.
-                self.finish(item, ends.get(item.id, Outcome(AttemptResult.ERROR, wait_us=wait, spoilt=True)))
+            self._end_bundle()
         elif noise:
             self.calls.strange(self.endpoint, self, "is followed by bytes that are no response")
             self.finish_all(Outcome(AttemptResult.ERROR, wait_us=told_wait(self.headers), spoilt=True))
-        else:
-            self.finish_all(single_outcome(self.status, self.headers))
+        elif self.open:
+            outcome = single_outcome(self.status, self.headers)
+            if self.is_doubtful:
+                self.calls.distrust(self)
+                outcome = without_proof(outcome)
+            self.finish_all(outcome)
+        self.calls.release(self)
+
+    def _ignore_copy(self) -> None:
+        """Wait on for the request's own response, if more than this one can be read."""
+        self.calls.counters.copies += 1
+        if self.pool is not None:
+            self.pool.copy_seen_at_s = self.calls.loop.time()
+        self.calls.report_copy(self, "is a copy of an earlier one")
+        connection = self.connection
+        if connection is not None and not connection.closed and not self.is_delivered:
+            self.status, self.headers, self.received = 0, {}, 0
+            self.body.clear()
+            self.is_partial = self.is_success = self.is_complete = False
+            connection.read_another(self)
+            return
+        self.is_doubtful = True
+        self.calls.abort(self)
+        if self.path:
+            self.calls.probe_ended(self, AttemptResult.RESET)
+        self.finish_all(Outcome(AttemptResult.RESET))
         self.calls.release(self)
 
+    def _end_bundle(self) -> None:
+        """The response names each message, and one that it leaves out may have run."""
+        wait = told_wait(self.headers)
+        ends = bundle_outcomes(bytes(self.body), wait)
+        if any(item.id not in ends for item in self.items):
+            self.calls.counters.mismatched += bool(ends)
+            self.calls.strange(self.endpoint, self, f"names {','.join(ends) or 'no message'}")
+            self.calls.abort(self)
+        missing = Outcome(AttemptResult.ERROR, wait_us=wait, spoilt=True)
+        outcomes = [ends.get(item.id, missing) for item in self.items]
+        if self.is_doubtful and any(outcome.result is not AttemptResult.OK for outcome in outcomes):
+            self.calls.distrust(self)
+            outcomes = [without_proof(outcome) for outcome in outcomes]
+        for item, outcome in zip(self.items, outcomes, strict=True):
+            self.finish(item, outcome)
+
     def spoilt(self) -> None:
         """A failed attempt that may have run."""
+        self._deliver_early()
         self.calls.strange(self.endpoint, self, "is malformed or incomplete")
         if self.path:
             self.calls.probe_ended(self, AttemptResult.ERROR)
@@ -332,6 +441,8 @@
         self.places: Places | None = None
         self.busy: Counter[int] = Counter()  # calls out by endpoint, where places are shared
         self.counters = ResponseCounters()
+        self.retired: dict[Connection, None] = {}  # they carry no further request, but more may come there
+        self.is_closed = False
 
     def place(self, endpoint: int, address: Address, topic: str = "", dest: int = 0) -> None:
         """Where the endpoint is; one that moved gets new connections, and nothing that was meant for it where
@@ -361,7 +472,20 @@
     def close_idle(self, endpoint: int) -> None:
         if pool := self.pools.get(endpoint):
             for connection in list(pool.idle):
-                connection.close()
+                self._close_free(endpoint, self._taken(pool, connection))
+
+    def _close_free(self, endpoint: int, connection: Connection) -> None:
+        """Close a connection that is in no pool; a delivery in doubt keeps it open until that is settled."""
+        if self.is_closed or not connection.ledger.unconfirmed:
+            connection.close()
+            self._closed_idle(endpoint, connection)
+            return
+        self.retired[connection] = None
+        connection.on_close = lambda: self._closed_retired(endpoint, connection)
+
+    def _closed_retired(self, endpoint: int, connection: Connection) -> None:
+        self.retired.pop(connection, None)
+        self._closed_idle(endpoint, connection)
 
     # Places that couriers share
 
@@ -384,8 +508,11 @@
         return self.connections(endpoint) + more <= most
 
     def close(self) -> None:
+        self.is_closed = True  # what is unconfirmed stays in the journal as possibly executed
         for endpoint in list(self.pools):
             self.close_idle(endpoint)
+        for connection in list(self.retired):
+            connection.close()
         for call in list(self.out):
             if call.connection is not None:
                 call.connection.close()  # not reset: the process that goes on with it may hold it too
@@ -409,6 +536,9 @@
 
     def spare(self) -> bool:
         """Close an idle connection, of the fullest pool; whether there was one."""
+        for connection in list(self.retired)[:1]:
+            connection.close()
+            return True
         pools = [pool for pool in self.pools.values() if pool.idle]
         if pools:
             max(pools, key=lambda pool: len(pool.idle)).idle[0].close()
@@ -465,22 +595,16 @@
             self._unsent(call, AttemptResult.NOT_SENT)
             return
         self._goes_out(call)
-        kept = pool.idle and not any(item.fresh for item in call.items)
-        if self.places is not None and not self.trim(call.endpoint, -1 if kept else 0):
+        kept = self._take_idle(pool, call)
+        if self.places is not None and not self.trim(call.endpoint):
             self._unsent(call, AttemptResult.NOT_SENT)
+            if kept is not None:
+                self._keep(call.endpoint, kept)
             return
-        while pool.idle and not any(item.fresh for item in call.items):
-            connection = pool.idle[-1]
-            connection.look()  # it closes, and leaves the pool, if anything has come
-            if connection.closed:
-                continue
-            pool.idle.pop()
-            pool.timers.pop(connection).cancel()
-            self.idle -= 1
-            connection.on_close = do_nothing
+        if kept is not None:
             self.reused += 1
             self._wait(call, fresh=False)
-            self._write(call, connection)
+            self._write(call, kept)
             return
         self._wait(call, fresh=True)
         try:
@@ -499,6 +623,36 @@
                 call, AttemptResult.NOT_SENT if error.errno in LOCAL_ERRORS else AttemptResult.CONNECT_FAILED
             )
 
+    def _take_idle(self, pool: Pool, call: Call) -> Connection | None:
+        """Take the idle connection that will do for this call.
+
+        Messages that may be repeated go on the newest one, if possible where no response is in doubt. Others,
+        probes, and all while copies are seen there go only where no copy is to be expected that its content
+        does not tell.
+        """
+        if any(item.fresh for item in call.items):
+            return None
+        now, fallback = self.loop.time(), None
+        may_be_in_doubt = call.is_repeatable and not pool.is_copy_seen(now)
+        for connection in reversed(list(pool.idle)):
+            connection.look()  # it closes, and leaves the pool, if anything has come
+            if connection.closed:
+                continue
+            ledger = connection.ledger
+            is_best = not ledger.is_suspect(now) if may_be_in_doubt else ledger.has_rested(now)
+            if connection.names_requests or is_best:
+                return self._taken(pool, connection)
+            if fallback is None and may_be_in_doubt:
+                fallback = connection
+        return self._taken(pool, fallback) if fallback is not None else None
+
+    def _taken(self, pool: Pool, connection: Connection) -> Connection:
+        pool.idle.remove(connection)
+        pool.timers.pop(connection).cancel()
+        self.idle -= 1
+        connection.on_close = do_nothing
+        return connection
+
     def _connection(self, pool: Pool) -> Connection:
         """A new one; OSError if there is no socket for it."""
         if not pool.topic:
@@ -530,8 +684,19 @@
 
     @property
     def unsettled(self) -> list[Call]:
-        """Calls that can't be passed on as they are: in the middle of an answer, or of a record."""
-        return [c for c in self.out if not c.open or c.connection is None or c.connection.midway]
+        """Calls that can't be passed on as they are.
+
+        They are in the middle of a response or of a record, or an earlier request on their connection may
+        still be executed.
+        """
+        return [
+            call
+            for call in self.out
+            if not call.open
+            or call.connection is None
+            or call.connection.midway
+            or call.connection.ledger.unconfirmed
+        ]
 
     def state(self, call: Call) -> dict[str, Any]:
         """All that another process needs to go on with it."""
@@ -547,6 +712,7 @@
                 n.fresh_timeout_us,
                 n.fresh,
                 n.begun,
+                n.is_repeatable,
             ]
             for n in call.items
             if not n.ended
@@ -562,6 +728,7 @@
             "rest": call.connection.rest,
             "connected": call.connection.connected,
             "write_by": call.write_by if call.write_by < math.inf else None,
+            "ledger": call.connection.ledger.state(),
         }
 
     def adopt(self, sock: Socket, state: dict[str, Any]) -> None:
@@ -574,6 +741,7 @@
             call.pool = None  # the endpoint is elsewhere by now
         call.write_by = state.get("write_by") or math.inf
         connection = Connection(self.loop, self.network, (state["address"][0], state["address"][1]), sock)
+        connection.ledger.adopt(state.get("ledger"))
         self._goes_out(call)
         self._wait(call, fresh=items[0].fresh)
         if state["connected"]:
@@ -635,9 +803,12 @@
             self._keep(call.endpoint, connection)
             return
         fresh = all(item.fresh for item in items)  # such a one may be turned away before it is asked
+        if not fresh:
+            connection.look()  # it closes if the endpoint has closed it or sent anything
         connection.unasked = connection.stale()
         if connection.unasked and (not fresh or connection.ended()):  # what is not written has never run
             connection.close()
+            self._closed_idle(call.endpoint, connection)
             self._unsent(call, AttemptResult.CONNECT_FAILED if fresh else AttemptResult.NOT_SENT)
             return
         for item in items:
@@ -706,35 +877,162 @@
         if call not in self.out:
             return
         self._drop(call)
-        if call.connection is not None:
-            call.connection.ledger.response_completed(self.loop.time())
-            self._keep(call.endpoint, call.connection)
+        connection = call.connection
+        if connection is None:
+            return
+        self.counters.doubtful += call.is_doubtful
+        connection.ledger.response_completed(self.loop.time(), call.checksum, call.is_distinctive)
+        self._await_settlement(call, connection)
+        if not connection.closed and call.is_doubtful and call.status != 200:
+            self._close_free(call.endpoint, connection)
+        elif not connection.closed:
+            self._keep(call.endpoint, connection)
+        elif call.is_complete and not call.is_doubtful and not connection.has_trailing_data:
+            self._closed_idle(call.endpoint, connection)
+        else:
+            self._resolve(connection.ledger.revoke_all(), "the responses on its connection can't be trusted")
 
     def _keep(self, endpoint: int, connection: Connection) -> None:
         pool = self.pools.get(endpoint)
         if connection.closed:
             return
-        if pool is None or pool.address != connection.address or self.idle_s <= 0:
-            connection.close()
-            return
-        if len(pool.idle) >= IDLE_EACH or self.idle >= self.max_idle:
-            connection.close()
-            return
-        if self.places is not None and not self.trim(endpoint, 1):
-            connection.close()
+        if pool is None or not self._has_room(endpoint, pool, connection):
+            self._close_free(endpoint, connection)
             return
         pool.idle.append(connection)
         self.idle += 1
         pool.timers[connection] = self.loop.call_later(self.idle_s, connection.close)
-        connection.on_close = lambda: self._closed(pool, connection)
+        connection.on_close = lambda: self._closed(endpoint, pool, connection)
+
+    def _has_room(self, endpoint: int, pool: Pool, connection: Connection) -> bool:
+        """Whether the connection may stay idle there."""
+        if pool.address != connection.address or self.idle_s <= 0:
+            return False
+        if len(pool.idle) >= IDLE_EACH or self.idle >= self.max_idle:
+            return False
+        return self.places is None or self.trim(endpoint, 1)
+
+    # Responses that may be copies of earlier ones
 
-    def _closed(self, pool: Pool, connection: Connection) -> None:
+    def doubts(self, call: Call) -> bool:
+        """Whether the response that is received now may be a copy, if it is equal to an earlier one."""
+        connection = call.connection
+        if connection is None or connection.names_requests:
+            return False
+        call.was_suspect = connection.ledger.is_suspect(self.loop.time())
+        return connection.ledger.doubts(self.loop.time())
+
+    def origin(self, call: Call) -> Origin:
+        """Judge a complete response by its content."""
+        connection = call.connection
+        if connection is None or connection.names_requests:
+            return Origin.OWN
+        if not call.is_delivered:
+            call.was_suspect = connection.ledger.is_suspect(self.loop.time())
+        return connection.ledger.origin(call.checksum, call.was_suspect, self.loop.time())
+
+    def delivered(self, call: Call, origin: Origin) -> None:
+        """A single message was answered with 200, or with a first line that says so."""
+        connection, item = call.connection, call.items[0]
+        assert connection is not None
+        now = self.loop.time()
+        usual = call.pool.usual if call.pool is not None else UsualLatency()
+        is_quick = usual.is_quicker(now - call.written_at)
+        call.is_doubtful = origin is Origin.UNKNOWN and self.doubts(call)
+        if call.is_doubtful and not (call.is_complete or item.is_repeatable):
+            return  # the content of the whole response tells more
+        call.is_delivered = True
+        contents = call.pool.contents if call.pool is not None else EndpointContents()
+        if call.is_doubtful:
+            settle_at = max(now + SETTLE_MIN_S, call.written_at + usual.settle_s)
+            checksum = call.checksum if call.is_complete else 0
+            call.unconfirmed = Unconfirmed(item, contents, checksum, is_quick, settle_at)
+            connection.ledger.hold(call.unconfirmed)
+        usual.add(now - call.written_at, connection.ledger.requests <= 1)
+        is_evidence = contents.has_equal or (
+            call.is_complete and not connection.ledger.contents.repeats(call.checksum)
+        )
+        verdicts = connection.ledger.success(call.unconfirmed, is_evidence)
+        call.finish_all(Outcome(AttemptResult.OK, over=True, is_unconfirmed=call.is_doubtful))
+        self._resolve(verdicts, "")
+
+    def clear_doubt(self, call: Call) -> None:
+        """The response is no copy, by its content."""
+        call.is_doubtful = False
+        if call.unconfirmed is not None and call.connection is not None:
+            self._resolve(call.connection.ledger.clear(call.unconfirmed), "")
+
+    def _await_settlement(self, call: Call, connection: Connection) -> None:
+        """Settle the call's delivery later, if it is still in doubt."""
+        entry = call.unconfirmed
+        if entry is not None and entry in connection.ledger.unconfirmed:
+            delay_s = max(0.0, entry.settle_at_s - self.loop.time())
+            self.loop.call_later(delay_s, self._settle, call.endpoint, connection, entry)
+
+    def distrust(self, call: Call) -> None:
+        """A response other than 200 may be a copy: nothing more is believed on its connection."""
+        self.report_copy(call, "may be a copy of an earlier one, no more is sent there")
+        usual_s = call.pool.usual.median_s if call.pool is not None else math.inf
+        if usual_s > PROMPT_S:
+            self.abort(call)
+
+    def report_copy(self, call: Call, what: str) -> None:
+        """Log a response that is a copy, or may be one."""
+        ids = ",".join(item.id for item in call.items) or "a probe"
+        history = call.connection.ledger.describe(self.loop.time()) if call.connection else "no connection"
+        log.info("endpoint %d: response %d to %s %s; %s", call.endpoint, call.status, ids, what, history)
+
+    def abort(self, call: Call) -> None:
+        """Reset the connection of a call, so that no later response on it is taken for another request's."""
+        if call.connection is not None:
+            call.connection.abort()
+
+    def _settle(self, endpoint: int, connection: Connection, entry: Unconfirmed[Item]) -> None:
+        """The time of an unconfirmed delivery is up."""
+        if connection.exchange is not None and entry in connection.ledger.unconfirmed:
+            # The response that is awaited there tells more.
+            settle_at = self.loop.time() + SETTLE_AGAIN_S
+            connection.ledger.suspect_until_s = max(connection.ledger.suspect_until_s, settle_at)
+            self.loop.call_later(SETTLE_AGAIN_S, self._settle, endpoint, connection, entry)
+            return
+        pool = self.pools.get(endpoint)
+        is_copy_seen = pool is not None and pool.is_copy_seen(self.loop.time())
+        verdicts = connection.ledger.settle(entry, is_copy_seen)
+        if verdicts.revoked:
+            connection.abort()  # its request may still be in flight there
+        self._resolve(verdicts, "its response came too soon and no other followed")
+        if connection in self.retired and not connection.ledger.unconfirmed:
+            connection.close()
+
+    def _closed_idle(self, endpoint: int, connection: Connection) -> None:
+        if connection.unsolicited:
+            self._report_unsolicited(connection)
+            if pool := self.pools.get(endpoint):
+                pool.copy_seen_at_s = self.loop.time()
+            if wait := told_wait(headers_of(connection.unsolicited)):
+                self.hooks.told_wait(endpoint, wait)
+        ledger = connection.ledger
+        is_broken = connection.unsolicited or connection.is_reset
+        verdicts = ledger.revoke_all() if is_broken else ledger.settle_all(self.loop.time())
+        self._resolve(verdicts, "one more response came, or it came too soon and its connection ended")
+
+    def _resolve(self, verdicts: Verdicts[Item], reason: str) -> None:
+        if self.is_closed:
+            return
+        for item in verdicts.confirmed:
+            self.counters.confirmed += 1
+            self.hooks.confirmed(item)
+        for item in verdicts.revoked:
+            self.counters.revoked += 1
+            log.info("delivery of %s is revoked: %s", item.id, reason)
+            self.hooks.revoked(item)
+
+    def _closed(self, endpoint: int, pool: Pool, connection: Connection) -> None:
         if connection in pool.timers:
             self.idle -= 1
             pool.timers.pop(connection).cancel()
             pool.idle.remove(connection)
-        if connection.unsolicited:
-            self._report_unsolicited(connection)
+        self._closed_idle(endpoint, connection)
 
     def _report_unsolicited(self, connection: Connection) -> None:
         self.counters.unsolicited += 1
--- a/madderbeam/transport/http.py
+++ b/madderbeam/transport/http.py
@@ -10,6 +10,7 @@
 import asyncio
 import errno
 from collections.abc import Callable, Sequence
+from typing import Any
 
 import httptools
 
@@ -165,6 +166,26 @@
             self.parser.feed_data(data[at:])
 
 
+class _Head(Exchange):
+    """Keeps the headers of a response."""
+
+    def __init__(self) -> None:
+        self.headers: dict[str, str] = {}
+
+    def head(self, status: int, headers: dict[str, str]) -> None:
+        """The headers are complete."""
+        self.headers = headers
+
+
+def headers_of(data: bytes) -> dict[str, str]:
+    """Return the headers of the response with which these bytes begin; {} if they are no whole head."""
+    head = _Head()
+    reader = ResponseReader(head)
+    reader.feed(memoryview(data))
+    reader.release()
+    return head.headers
+
+
 def do_nothing() -> None:
     """The default callback."""
 
@@ -176,6 +197,8 @@
     once and not by the garbage collector.
     """
 
+    names_requests = False  # a response does not tell which request it answers
+
     def __init__(
         self, loop: asyncio.AbstractEventLoop, network: Network, address: Address, sock: Socket | None = None
     ) -> None:
@@ -183,10 +206,12 @@
         super().__init__(loop, network, address, sock)
         self.answer: ResponseReader | None = None
         self.on_close: Callable[[], None] = do_nothing
-        self.ledger = ResponseLedger()
+        self.ledger: ResponseLedger[Any] = ResponseLedger()
         self.unsolicited = b""  # the first bytes that came with no request in flight
-        self.reading = False
+        self.has_trailing_data = False  # more than one response came to the last request
+        self.is_reset = False  # by the peer, with no request in flight
         self.unasked = False  # bytes came ahead of the request: they are no response to it
+        self.reading = False
         self._out, self._sent = b"", 0
 
     @property
@@ -231,6 +256,10 @@
         self._out, self._sent = "\r\n".join([*lines, "", ""]).encode("latin-1") + body, 0
         self._write()
 
+    def read_another(self, exchange: Exchange) -> None:
+        """Read one more response to a request whose first one was not its own."""
+        self.answer = ResponseReader(exchange)
+
     def _more(self) -> None:
         exchange = self.exchange
         if exchange is None or not exchange.held_back():
@@ -259,16 +288,18 @@
             self._readable()
 
     def _readable(self) -> None:
+        is_reset = False
         try:
             data = read(self.sock)
         except (BlockingIOError, InterruptedError):
             return
         except OSError:
-            data = NOTHING
+            data, is_reset = NOTHING, True
         answer = self.answer
         if answer is None:  # the end of the connection, or unsolicited bytes
             self.unsolicited = bytes(data[:UNSOLICITED_KEPT_BYTES])
-            self.close()
+            self.is_reset = is_reset
+            self.abort() if data else self.close()
             return
         answer.began_early = answer.began_early or not self.written
         self.reading = True
@@ -296,6 +327,7 @@
             self._spoil()
             return
         self.answer = None
+        self.has_trailing_data = answer.has_trailing_data
         if not self.written or not answer.may_keep_alive or answer.has_trailing_data:
             self.close()
         answer.exchange.end(answer.has_trailing_data and not answer.is_trailing_response)
--- /dev/null
+++ b/madderbeam/transport/response_content.py
@@ -0,0 +1,113 @@
+"""Tells a response from copies of earlier ones by its content.
+
+A copy is equal to the response that it repeats. So a response that differs from all recent ones on its
+connection is none; and where an endpoint's successful responses all differed so far, one that is equal to an
+earlier one is a copy. The content itself has no meaning here.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+import zlib
+from collections import deque
+from dataclasses import dataclass
+
+CHECKSUMS_KEPT, CHECKSUMS_MIN = 16, 8  # successful responses of an endpoint
+RESPONSES_KEPT, RESPONSES_KEPT_MAX = 16, 128  # on a connection; the most of its newest ones
+COPY_WINDOW_S = 0.5  # behind a response in which a copy of it is to be expected
+
+
+class Origin(enum.Enum):
+    """What a response is, as far as its content tells."""
+
+    OWN = enum.auto()  # it belongs to its request
+    COPY = enum.auto()  # it repeats an earlier response
+    UNKNOWN = enum.auto()
+
+
+def head_checksum(status: int, headers: dict[str, str]) -> int:
+    """Return the checksum of a response's head, with which that of its body goes on.
+
+    Responses of the same second have the same date, so it does not make one of them distinctive.
+    """
+    lines = [str(status), *(f"{name}:{value}" for name, value in headers.items() if name != "date")]
+    return zlib.crc32("\n".join(lines).encode("latin-1", "replace"))
+
+
+class EndpointContents:
+    """The checksums of an endpoint's newest successful responses to single messages."""
+
+    def __init__(self) -> None:
+        self.checksums: deque[int] = deque(maxlen=CHECKSUMS_KEPT)
+
+    @property
+    def has_equal(self) -> bool:
+        """Whether some of them were equal, so that an equal one need not be a copy."""
+        return len(set(self.checksums)) < len(self.checksums)
+
+    def add(self, checksum: int) -> bool:
+        """Count one that is in no doubt; return whether a later one equal to it is sure to be its copy."""
+        known = set(self.checksums)
+        all_differ = len(known) == len(self.checksums) >= CHECKSUMS_MIN
+        self.checksums.append(checksum)
+        return all_differ and checksum not in known
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedResponse:
+    """A response that was received on a connection."""
+
+    completed_at_s: float  # on the event loop's clock
+    is_distinctive: bool  # one that is equal to it is sure to be its copy
+
+
+class ConnectionContents:
+    """The newest responses on a connection, by checksum."""
+
+    def __init__(self) -> None:
+        self.responses: dict[int, ReceivedResponse] = {}  # the oldest first
+        self.forgotten_at_s = -math.inf  # completion of the newest response that is not kept any more
+        self.indistinct_at_s = -math.inf  # completion of the newest response that is not distinctive
+
+    def add(self, checksum: int, response: ReceivedResponse) -> None:
+        """Keep a response that is complete."""
+        self.responses.pop(checksum, None)
+        self.responses[checksum] = response
+        if not response.is_distinctive:
+            self.indistinct_at_s = response.completed_at_s
+        while len(self.responses) > RESPONSES_KEPT:
+            oldest = next(iter(self.responses))
+            completed_at_s = self.responses[oldest].completed_at_s
+            is_recent = completed_at_s > response.completed_at_s - COPY_WINDOW_S
+            if is_recent and len(self.responses) <= RESPONSES_KEPT_MAX:
+                break
+            del self.responses[oldest]
+            self.forgotten_at_s = completed_at_s
+
+    def repeats(self, checksum: int) -> bool:
+        """Whether a response is equal to one of the kept."""
+        return checksum in self.responses
+
+    def origin(self, checksum: int, now_s: float) -> Origin:
+        """Compare a response with the kept ones."""
+        earlier = self.responses.get(checksum)
+        if earlier is not None:
+            return Origin.COPY if earlier.is_distinctive else Origin.UNKNOWN
+        return Origin.OWN if now_s - self.forgotten_at_s >= COPY_WINDOW_S else Origin.UNKNOWN
+
+    # From one process to the next
+
+    def state(self) -> list[tuple[int, float, bool]]:
+        """Return what another process needs to go on."""
+        return [
+            (checksum, response.completed_at_s, response.is_distinctive)
+            for checksum, response in self.responses.items()
+        ]
+
+    def adopt(self, state: list[tuple[int, float, bool]]) -> None:
+        """Take over what another process knew."""
+        for checksum, completed_at_s, is_distinctive in state:
+            self.add(checksum, ReceivedResponse(completed_at_s, is_distinctive))
+        if len(state) >= RESPONSES_KEPT:
+            self.forgotten_at_s = state[0][1]
--- a/tests/soaking/soak_scenario.py
+++ b/tests/soaking/soak_scenario.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import dataclass
 from enum import Enum
+from typing import Any
 
 from loopback import settings
 from soak_copies import Copies
@@ -16,6 +17,7 @@
 DRAIN_GRACE_US = 2_000_000
 CLASSES = ("safe", "keyed", "unsafe", "ordered")
 LIFE_MS = (800, 4000)
+COPY_DELAY_S = (0.001, 0.5)  # behind the response that is repeated
 MEMORY_MB = 64  # of the courier; the platform's least is 32
 
 
@@ -116,9 +118,22 @@
         sockets=sockets,
         moods=_moods(rng),
         events=tuple(sorted(_events(rng) + _later_events(seed), key=lambda event: event.at_s)),
+        **_responses(seed),
     )
 
 
+def _responses(seed: int) -> dict[str, Any]:
+    """Copies in half of the runs, and equal responses in a quarter, drawn apart like later events."""
+    rng = random.Random(f"soak copies {seed}")
+    if rng.random() < 0.5:
+        share = rng.choice((0.02, 0.1, 0.3))
+        return {
+            "copies": Copies(share, COPY_DELAY_S, times_max=rng.choice((1, 2))),
+            "agent_copies": Copies(share, COPY_DELAY_S) if rng.random() < 0.5 else None,
+        }
+    return {"has_equal_responses": rng.random() < 0.5}
+
+
 def _moods(rng: random.Random) -> dict[Mood, float]:
     shares = dict.fromkeys(Mood, 0.0)
     shares[Mood.LATE] = 0.2
--- a/tests/test_spoilt.py
+++ b/tests/test_spoilt.py
@@ -9,6 +9,7 @@
 
 from madderbeam.policy.events import AttemptResult
 from madderbeam.transport import calls as c
+from madderbeam.transport.response_content import COPY_WINDOW_S
 
 OK = c.Outcome(AttemptResult.OK, over=True)
 MAY_HAVE_RUN = c.Outcome(AttemptResult.ERROR, spoilt=True)
@@ -78,6 +79,8 @@
         assert await o.send(endpoint.port, "a") == [("a", outcome)]
         while o.calls.out:
             await asyncio.sleep(0.01)
+        for connection in o.calls.pools[1].idle:  # long enough for no copy of the first answer to be expected
+            connection.ledger.last_response_at_s -= COPY_WINDOW_S
         assert await o.send(endpoint.port, "b") == [("b", outcome if step == "close" else OK)]
         reusable = name.startswith(("1xx", "a bad report", "wait"))
         assert endpoint.server is not None and o.calls.opened == (1 if reusable else 2)
--- a/tests/test_unsolicited_responses.py
+++ b/tests/test_unsolicited_responses.py
@@ -65,6 +65,10 @@
             "responses.unsolicited": 0,
             "responses.unreadable": 2,
             "responses.mismatched": 2,
+            "responses.doubtful": 0,
+            "responses.copies": 0,
+            "deliveries.confirmed": 0,
+            "deliveries.revoked": 0,
         }
 
     with caplog.at_level("INFO"):
