Calls: a wait told by a response right behind another one is heeded

Cause: where two responses arrive in one read, the second one's headers were dropped with the rest, its Retry-After among them. Evidence: the new test, three cases, fails without the change and passes with it. Fix: the headers behind the first response are kept apart and a Retry-After in them binds, as the protocol has a wait bind whatever was asked.

--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -295,6 +295,8 @@
         """Whole and well formed: only now does an answer prove that the call never ran, or that it is over.
         Behind a length that is too short the rest of the answer looks like noise, so with that it is none."""
         self.is_complete = True
+        if self.connection is not None and self.connection.has_trailing_data:
+            self._heed_wait(self.connection.trailing_headers)
         origin = self.calls.origin(self)
         if origin is Origin.COPY:
             self._ignore_copy()
--- a/madderbeam/transport/http.py
+++ b/madderbeam/transport/http.py
@@ -73,6 +73,7 @@
     def __init__(self, exchange: Exchange) -> None:
         self.exchange, self.parser = exchange, httptools.HttpResponseParser(self)
         self.headers: dict[str, str] = {}
+        self.trailing_headers: dict[str, str] = {}  # of the responses that follow it
         self.interim_count = 0  # 1xx responses ahead of it
         self.status = 0
         self.head_bytes = 0
@@ -106,9 +107,11 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Callback of httptools. Trailers behind the body are ignored."""
-        if not self.has_trailing_data and not self.has_headers:
-            key, text = name.decode("latin-1").lower(), value.decode("latin-1")
-            self.headers[key] = f"{self.headers[key]}, {text}" if key in self.headers else text
+        if self.has_headers and not self.has_trailing_data:
+            return
+        headers = self.trailing_headers if self.has_trailing_data else self.headers
+        key, text = name.decode("latin-1").lower(), value.decode("latin-1")
+        headers[key] = f"{headers[key]}, {text}" if key in headers else text
 
     def on_headers_complete(self) -> None:
         """Callback of httptools."""
@@ -209,6 +212,7 @@
         self.ledger: ResponseLedger[Any] = ResponseLedger()
         self.unsolicited = b""  # the first bytes that came with no request in flight
         self.has_trailing_data = False  # more than one response came to the last request
+        self.trailing_headers: dict[str, str] = {}  # of the further ones
         self.is_reset = False  # by the peer, with no request in flight
         self.unasked = False  # bytes came ahead of the request: they are no response to it
         self.reading = False
@@ -327,7 +331,7 @@
             self._spoil()
             return
         self.answer = None
-        self.has_trailing_data = answer.has_trailing_data
+        self.has_trailing_data, self.trailing_headers = answer.has_trailing_data, answer.trailing_headers
         if not self.written or not answer.may_keep_alive or answer.has_trailing_data:
             self.close()
         answer.exchange.end(answer.has_trailing_data and not answer.is_trailing_response)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -204,6 +204,17 @@
     held(run)()
 
 
+@pytest.mark.parametrize("first", [answer(200), answer(503), answer(200) + answer(503)])
+def test_a_wait_of_a_response_behind_the_first_binds(first):
+    async def run(h):
+        call, theirs = h.call()
+        h.told(call, theirs, first + FULL)
+        assert h.o.waits == [400_000] and call.connection.closed
+        theirs.close()
+
+    held(run)()
+
+
 @pytest.mark.parametrize("cut", [0, 12, 20])
 def test_an_interim_answer_does_not_begin_the_time_of_the_answer(monkeypatch, cut):
     # A destination that says 102 and works on was given up half a second later, and its call may have run.
