Calls: no request is written behind a response that came ahead of it on a new connection

Fix: the request is not written; what came is read as an early rejection (its Retry-After counts), and the connection is closed. What is not written has never run.

--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -807,8 +807,8 @@
         fresh = all(item.fresh for item in items)  # such a one may be turned away before it is asked
         if not fresh:
             connection.look()  # it closes if the endpoint has closed it or sent anything
-        connection.unasked = connection.stale()
-        if connection.unasked and (not fresh or connection.ended()):  # what is not written has never run
+        is_rejected_early = connection.stale()
+        if is_rejected_early and (not fresh or connection.ended()):  # what is not written has never run
             connection.close()
             self._closed_idle(call.endpoint, connection)
             self._unsent(call, AttemptResult.CONNECT_FAILED if fresh else AttemptResult.NOT_SENT)
@@ -816,7 +816,9 @@
         for item in items:
             item.begun = True
         connection.ledger.request_started(tuple(item.id for item in items))
-        if call.path:
+        if is_rejected_early:
+            connection.read_rejection(call)
+        elif call.path:
             connection.request("GET", call.path, [], b"", call)
         elif len(items) == 1:
             connection.request("POST", "/events", self._headers(call, items[0]), items[0].body, call)
--- a/madderbeam/transport/http.py
+++ b/madderbeam/transport/http.py
@@ -214,7 +214,6 @@
         self.has_trailing_data = False  # more than one response came to the last request
         self.trailing_headers: dict[str, str] = {}  # of the further ones
         self.is_reset = False  # by the peer, with no request in flight
-        self.unasked = False  # bytes came ahead of the request: they are no response to it
         self.reading = False
         self._out, self._sent = b"", 0
 
@@ -249,7 +248,6 @@
     def request(self, method: str, target: str, headers: Headers, body: bytes, exchange: Exchange) -> None:
         """Send a request. Header values that come from clients were checked to be printable at acceptance."""
         self.answer = ResponseReader(exchange)
-        self.answer.began_early = self.unasked
         lines = [
             f"{method} {target} HTTP/1.1",
             f"Host: {self.address[0]}:{self.address[1]}",
@@ -260,6 +258,11 @@
         self._out, self._sent = "\r\n".join([*lines, "", ""]).encode("latin-1") + body, 0
         self._write()
 
+    def read_rejection(self, exchange: Exchange) -> None:
+        """Read the response that came ahead of a request, which is not written: it is no answer to it."""
+        self.answer = ResponseReader(exchange)
+        self.answer.began_early = True
+
     def read_another(self, exchange: Exchange) -> None:
         """Read one more response to a request whose first one was not its own."""
         self.answer = ResponseReader(exchange)
@@ -332,7 +335,7 @@
             return
         self.answer = None
         self.has_trailing_data, self.trailing_headers = answer.has_trailing_data, answer.trailing_headers
-        if not self.written or not answer.may_keep_alive or answer.has_trailing_data:
+        if not self.written or answer.began_early or not answer.may_keep_alive or answer.has_trailing_data:
             self.close()
         answer.exchange.end(answer.has_trailing_data and not answer.is_trailing_response)
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -418,6 +418,25 @@
     held(run)()
 
 
+def send_behind(h, early):
+    """Send a message on a new connection on which this comes ahead of the request; return the other ends."""
+    h.server.setblocking(False)
+    h.calls.place(1, h.server.getsockname())
+    others = []
+
+    def slow(items, go):
+        theirs, _ = h.server.accept()
+        others.append(theirs)
+        theirs.sendall(early)
+        (call,) = h.calls.out
+        arrived(call.connection.sock)
+        go(True)
+
+    h.calls.hooks.begin = slow
+    h.calls.send(1, [c.Item(5, 0, "b", "", b"x", 5_000_000)])
+    return others
+
+
 @pytest.mark.parametrize(
     ("step", "outcome"),
     [
@@ -429,20 +448,7 @@
 def test_a_200_that_came_on_a_new_connection_ahead_of_the_request_is_none(step, outcome):
     # The message was over with no effect and no notice. One that is turned away at once may say so first.
     async def run(h):
-        h.server.setblocking(False)
-        h.calls.place(1, h.server.getsockname())
-        others = []
-
-        def slow(items, go):
-            theirs, _ = h.server.accept()
-            others.append(theirs)
-            theirs.sendall(step)
-            (call,) = h.calls.out
-            arrived(call.connection.sock)
-            go(True)
-
-        h.calls.hooks.begin = slow
-        h.calls.send(1, [c.Item(5, 0, "b", "", b"x", 5_000_000)])
+        others = send_behind(h, step)
         assert (await bounded(h.o.ended.get()))[1] == outcome
         assert not h.calls.out
         others[0].close()
--- a/tests/test_unsolicited_responses.py
+++ b/tests/test_unsolicited_responses.py
@@ -1,8 +1,10 @@
 """Responses that no request asked for are counted and logged with what their connection carried before."""
 
+import contextlib
+
 import pytest
-from loopback import answer
-from test_answers import Held, arrived, held
+from loopback import answer, bounded
+from test_answers import Held, arrived, held, read_on, send_behind
 
 from madderbeam.transport import calls as c
 
@@ -75,3 +77,17 @@
         held(run)()
     lines = [r.message for r in caplog.records if "response to a,b (status 200) names x" in r.message]
     assert len(lines) == 2
+
+
+@pytest.mark.parametrize("early", [answer(503), answer(429, Retry_After="0.4"), answer(200)])
+def test_a_request_is_not_written_behind_a_response_that_came_ahead_of_it(early):
+    async def run(h):
+        others = send_behind(h, early)
+        await bounded(h.o.ended.get())
+        (theirs,) = others
+        with contextlib.suppress(ConnectionResetError):
+            assert await read_on(theirs) == b""  # closed, with no byte of a request
+        assert not h.calls.out and not h.calls.idle
+        theirs.close()
+
+    held(run)()
