Watch: an older line of a call that comes again is ignored

Seen by reading and a test: a copy of an earlier line of the watch set an endpoint back to an older state and address, and the courier's version back. Fix: digests of the newest 64 lines of a call are kept; a line that is one of them and older than the newest version is a copy. Versions alone don't tell, since they may go back. The new test fails without the change.

--- a/madderbeam/transport/discovery.py
+++ b/madderbeam/transport/discovery.py
@@ -6,6 +6,8 @@
 import json
 import logging
 import random
+import zlib
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -35,6 +37,7 @@
 # new one: first after this, so that it comes in time all the same, then after twice as long, up to that.
 NOTICE_S = (0.08, 1.0)
 BATCH = 200  # notices in one request
+LINES_KEPT = 64  # of a watch, to know a copy of one
 log = logging.getLogger(__name__)
 
 
@@ -153,6 +156,8 @@
         super().__init__(loop, network, address, chance)
         self.rev, self.told = rev, told
         self.values, self.status = Values(), 0
+        self.newest_rev = -1  # of this call's lines
+        self.recent_lines: deque[int] = deque(maxlen=LINES_KEPT)  # digests of this call's lines
         self.began = self.by = 0.0  # the newest call, on the loop's clock
         self.clock_end = 0.0
         self.complaint = ""  # the newest, until a list can be read
@@ -179,6 +184,8 @@
     def ready(self) -> None:
         assert self.connection is not None
         self.values, self.status = Values(), 0
+        self.newest_rev = -1
+        self.recent_lines.clear()
         self.after(self.began + CALL_S - self.loop.time(), self.open)
         self.connection.request("GET", f"/discovery/hosts?watch=1&from={self.rev}", [], b"", self)
 
@@ -227,12 +234,23 @@
             raise Unreadable(repr(error)) from None
         if not isinstance(targets, list):
             raise Unreadable("targets is no list")
+        if self._is_outdated_copy(rev, change):
+            log.info("discovery: version %d came again behind %d, and is ignored", rev, self.newest_rev)
+            return True
         if self.told(change) is False:
             self._anew("")
             return False
         self.rev, self.complaint = rev, ""
+        self.newest_rev = max(self.newest_rev, rev)
         return True
 
+    def _is_outdated_copy(self, rev: int, change: dict[str, Any]) -> bool:
+        """Whether an older line of this call comes again. Versions alone do not tell: they may go back."""
+        digest = zlib.crc32(json.dumps(change, sort_keys=True).encode())
+        is_copy = digest in self.recent_lines and rev < self.newest_rev
+        self.recent_lines.append(digest)
+        return is_copy
+
     def _anew(self, complaint: str) -> None:
         """What it said is lost: ask for all. The log hears of the same once."""
         if complaint and complaint != self.complaint:
--- a/tests/test_discovery_copies.py
+++ b/tests/test_discovery_copies.py
@@ -1,4 +1,4 @@
-"""A second copy of what discovery writes is not taken for the answer to a notice."""
+"""A second copy of what discovery writes is not taken for the answer to a notice, or for news of the list."""
 
 import asyncio
 import json
@@ -7,7 +7,7 @@
 from loopback import Server, answer, bounded, read_request
 
 from madderbeam.ports.real import RealNetwork
-from madderbeam.transport.discovery import Notices
+from madderbeam.transport.discovery import Notices, Watch
 
 ACCEPTED = answer(204)
 
@@ -54,3 +54,26 @@
         await agent.stop()
 
     asyncio.run(run())
+
+
+def test_an_older_line_of_the_watch_that_comes_again_changes_nothing():
+    async def run():
+        loop, told = asyncio.get_running_loop(), []
+        address = ("127.0.0.1", 1)
+        watch = Watch(loop, RealNetwork(loop), address, random.Random(1), 0, lambda c: told.append(c["rev"]))
+
+        def line(rev):
+            return json.dumps({"rev": rev, "all": False, "targets": []}).encode() + b"\n"
+
+        class Open:
+            closed = False
+
+        watch.connection = Open()
+        watch.by = watch.clock_end = loop.time() + 5
+        for rev in (41, 42, 43, 42, 41, 43, 44):
+            watch.data(line(rev))
+        assert told == [41, 42, 43, 43, 44]
+        assert watch.rev == 44
+        watch.timer.cancel()
+
+    asyncio.run(run())
