Client library: a second copy of a reply is not taken for the next message's reply

A program beside a courier would believe a message accepted that no courier had read. Cause: redis-py's pool closes a connection on which bytes wait, but not with its maintenance notifications on, as they are by default. Fix: they are off. The new test fails without it. A copy that crosses the next request is still taken for its reply: RESP has no ids (open risks).

--- a/madderbeam/client.py
+++ b/madderbeam/client.py
@@ -22,6 +22,7 @@
 from pathlib import Path
 
 import redis
+from redis.maint_notifications import MaintNotificationsConfig
 
 ANSWER_S = 0.4  # timeout of a reply in seconds; a courier replies within this
 NO_ORDER = "0"
@@ -69,6 +70,8 @@
             timeout=ANSWER_S,
             socket_timeout=ANSWER_S,
             retry=redis.retry.Retry(redis.backoff.NoBackoff(), 0),
+            # With these on, the pool would take bytes on an idle connection for the next reply.
+            maint_notifications_config=MaintNotificationsConfig(enabled=False),
         )
         self.redis = redis.Redis(connection_pool=pool)
         self.feed = Path(feed) if feed else None
