--- a/madderbeam/policy/rate_pacing.py
+++ b/madderbeam/policy/rate_pacing.py
@@ -66,8 +66,11 @@
         if not scope.pace_per_s:
             return
         state = self.state
-        couriers = 1 if scope.rate_is_leased else state.settings.courier_count
-        highest = scope.listed_rate_per_s * couriers or math.inf
+        if scope.rate_is_leased:
+            highest = scope.listed_rate_per_s or math.inf
+        else:
+            listed_per_s = scope.listed_rate_per_s * state.settings.courier_count
+            highest = max(listed_per_s, MIN_PACE_PER_S) if listed_per_s else math.inf
         since_cut_us = state.now_us - scope.pace_cut_at_us
         # Fast up to where it was last overloaded, then slowly, the faster the longer ago that was.
         calm = min(1.0, max(MIN_CALM, since_cut_us / CALM_US))
