Simulation: copies of answers, in-order service, and what a doubtful answer allows

Change: faults "copies" and "equal_copies" for written scripts (one or two copies, 1 to 120 ms behind); three of four endpoints put a number into each 200.

--- a/madderbeam/simulation/faults.py
+++ b/madderbeam/simulation/faults.py
@@ -251,6 +251,23 @@
 _shares()
 
 
+@kind(6000, weight=0)
+def copies(world: World, f: Fault) -> End:
+    """A share of the answers comes again, once or twice, up to 120 ms later."""
+    chosen = world.live() if f.value > 0.5 else _dest(world, f).endpoints
+    ends = [_set(ep.mood, "copies", 0.1 + f.value / 2) for ep in chosen]
+    return lambda: [end() for end in ends]
+
+
+@kind(6000, weight=0)
+def equal_copies(world: World, f: Fault) -> End:
+    """As copies, and nothing in the answers tells one from another."""
+    chosen = world.live() if f.value > 0.5 else _dest(world, f).endpoints
+    ends = [_set(ep.mood, "copies", 0.1 + f.value / 2) for ep in chosen]
+    ends += [_set(ep.mood, "equal", True) for ep in chosen]
+    return lambda: [end() for end in ends]
+
+
 @kind(6000, weight=2.0)
 def slow_handshakes(world: World, f: Fault) -> End:
     """Connections to a destination, or to all, take 150 to 450 ms longer to come up."""
--- a/madderbeam/simulation/kafka.py
+++ b/madderbeam/simulation/kafka.py
@@ -92,7 +92,8 @@
     def _came(self, request: Request) -> None:
         if request.path:
             self.asked.append(request)
-            super()._came(request)
+            self.kernel.checker.arrived(request.note)
+            self._begin(request)
             return
         if self.endpoint.mood.outage in ("cut", "never", "hang"):
             return
