Disabled endpoints: one enabled on a full disk stays enabled through an upgrade

Cause: an operator enabled an endpoint while the disk was full and was answered 507; the process had it enabled, its file did not. The next process took the union of the file and what the old one passed on, and disabled it again. Fix: what the old process had in force replaces the file. Both new tests fail without the change.

--- a/madderbeam/host/disabled_endpoints.py
+++ b/madderbeam/host/disabled_endpoints.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+from collections.abc import Iterable
 
 from madderbeam.host import atomic_file
 from madderbeam.ports import Disk
@@ -57,6 +58,16 @@
         self.ids[uid] = None
         self._write()
 
+    def adopt(self, ids: Iterable[str]) -> None:
+        """Take over what the process before this one had in force, which it may have failed to store."""
+        if self.ids.keys() == (adopted := dict.fromkeys(ids)).keys():
+            return
+        self.ids = adopted
+        try:
+            self._write()
+        except OSError as error:
+            log.error("the list of disabled endpoints could not be stored: %s", error)
+
     def remove(self, uid: str) -> None:
         """Enable an endpoint. OSError if that could not be stored: the next process disables it again."""
         if uid in self.ids:
--- a/madderbeam/host/state_transfer.py
+++ b/madderbeam/host/state_transfer.py
@@ -194,9 +194,8 @@
 def adopt(host: Host, transferred: TransferredState) -> int:
     """Continue from the transferred state with a newly created host; return the port."""
     state, message = transferred.state, transferred.message
-    host.disabled_endpoints.ids.update(
-        dict.fromkeys(message.get("bans", ()))
-    )  # also those that could not be stored
+    if "bans" in message:
+        host.disabled_endpoints.adopt(message["bans"])
     if state is None:
         for sock in transferred.calls:  # their messages are possibly executed
             sock.close()
--- a/tests/simulation/test_mended.py
+++ b/tests/simulation/test_mended.py
@@ -178,3 +178,11 @@
     world.checker._broken = found.append
     world.checker.said(older, b"-BUSY")
     assert bool(found) is is_broken
+
+
+def test_an_endpoint_enabled_while_the_disk_is_full_stays_enabled_by_an_upgrade():
+    script = Script(seed=1, couriers=1, dests=1, rate_per_s=20, seconds=6.0)
+    by_hand = Fault("by_hand", at_ms=1_000, for_ms=1_000, value=0.9)
+    full, upgrade = Fault("disk_full", at_ms=1_900, for_ms=900), Fault("upgrade", at_ms=2_950, for_ms=400)
+    report = play(replace(script, faults=(by_hand, full, upgrade)))
+    assert report.violation is None, report.line
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -199,6 +199,16 @@
     assert "a" in bans and "a" not in DisabledEndpoints(RealDisk(), str(tmp_path))
 
 
+def test_a_ban_lifted_on_a_disk_that_does_not_take_it_does_not_come_back_by_an_upgrade(tmp_path):
+    DisabledEndpoints(RealDisk(), str(tmp_path)).add("a")
+    old = DisabledEndpoints(Refusing(), str(tmp_path))
+    with pytest.raises(OSError):
+        old.remove("a")
+    new = DisabledEndpoints(RealDisk(), str(tmp_path))
+    new.adopt(old.ids)
+    assert "a" not in new and "a" not in DisabledEndpoints(RealDisk(), str(tmp_path))
+
+
 class FailingOnce(RealDisk):
     """A disk with one read error."""
 
