Upgrade: outcomes that the disk has not recorded are passed on

Fix: number, status and Retry-After of such outcomes are in what an upgrade passes on; the next process completes them and goes on with the records. An older process passes none, as before.

--- a/madderbeam/host/completions.py
+++ b/madderbeam/host/completions.py
@@ -123,6 +123,10 @@
             message.status, message.retry_after_ms = "undeliverable", 0
             self.notify(message)
 
+    def unrecorded_outcomes(self) -> list[tuple[int, str, int]]:
+        """Return number, status and Retry-After (ms) of completed messages whose outcome no record holds."""
+        return [(m.number, m.status, m.retry_after_ms) for m in self.unrecorded.values()]
+
     def notices_accepted(self, numbers: list[int]) -> None:
         """The notices of these messages were accepted: an outcome without a record needs none any more."""
         for number in numbers:
--- a/madderbeam/host/state_transfer.py
+++ b/madderbeam/host/state_transfer.py
@@ -9,7 +9,7 @@
 
 import logging
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import Any
 
 from madderbeam.host import object_graph
@@ -120,6 +120,7 @@
         "numbers": host.admission.last_number,
         "waits": host.registry.active_retry_after(),
         "bans": list(host.disabled_endpoints.ids),
+        "unrecorded": host.completions.unrecorded_outcomes(),
         "nodes": None,
         "calls": [],
         "clients": [],
@@ -202,7 +203,7 @@
         host.load_state({(dest, uid): until for dest, uid, until in message["waits"]})
     else:
         _restore_registry(host, state)
-        _restore_engine(host, state)
+        _restore_engine(host, state, message.get("unrecorded", ()))
         for sock, call in zip(transferred.calls, message["calls"], strict=True):
             host.calls.adopt(sock, call)
         host.attempts.next_numbers = state["numbers"]
@@ -237,19 +238,22 @@
     host.routing.refresh()
 
 
-def _restore_engine(host: Host, state: dict[str, Any]) -> None:
+def _restore_engine(host: Host, state: dict[str, Any], unrecorded: Iterable[tuple[int, str, int]]) -> None:
     """Continue with the transferred engine, its messages, calls and timers.
 
     A message that the journal lacks is completed; one that only the journal has is restored as after a
-    restart.
+    restart, unless its outcome is among the `unrecorded`.
     """
+    outcomes = {number: (status, retry_after_ms) for number, status, retry_after_ms in unrecorded}
     courier: DeliveryEngine = state["courier"]
     host.courier, host.admission.retry_after_us = courier, courier.admission.retry_after_us
     courier.state.endpoint_preference = host.routing.router
     for number in [number for number in courier.state.messages if number not in host.journal.pending]:
         host.events.append(MessageWithdrawn(number))
-    for message in host.journal.pending.values():
-        if message.status or message.number not in courier.state.messages:
+    for message in list(host.journal.pending.values()):
+        if not message.status and message.number in outcomes:
+            host.completions.complete(message, *outcomes[message.number])
+        elif message.status or message.number not in courier.state.messages:
             host.restore_message(message)
         else:
             host.completions.start_deadline_timer(message)
--- a/tests/simulation/planted.py
+++ b/tests/simulation/planted.py
@@ -460,26 +460,26 @@
 def an_upgrade_forgets_told_waits(patch):
     adopt = state_transfer._restore_engine
 
-    def careless(host, whole):
+    def careless(host, whole, unrecorded):
         host.registry.waits.clear()
         for destination in whole["courier"].state.destinations.values():
             for scope in destination.scopes:
                 scope.retry_after_until_us = 0
-        adopt(host, whole)
+        adopt(host, whole, unrecorded)
 
     patch.setattr(state_transfer, "_restore_engine", careless)
 
 
 @bug(10, "overlap", "repeat", "ends", "order", "refusal")
 def an_upgrade_leaves_calls_out_behind(patch):
-    def careless(host, whole):
+    def careless(host, whole, unrecorded):
         state = whole["courier"].state
         for call, message in state.calls.values():
             message.in_flight = 0
             message.destination.queue.append(message)
             call.endpoint.calls.pop(call, None)
         state.calls.clear()
-        adopt(host, whole)
+        adopt(host, whole, unrecorded)
 
     adopt = state_transfer._restore_engine
     patch.setattr(state_transfer, "_restore_engine", careless)
--- a/tests/simulation/test_explore.py
+++ b/tests/simulation/test_explore.py
@@ -30,6 +30,10 @@
     assert broken == []
 
 
+def test_an_end_that_the_disk_did_not_take_keeps_its_order_over_an_upgrade():
+    assert not play(Script.parse((CORPUS / "2aad94af4ebe.json").read_text())).violation
+
+
 def test_only_what_reaches_something_new_is_kept():
     search = explore.Search()
     assert search.add(found(1, {("a",), ("b",)}))
