Waits: a wait holds for the part of a millisecond that it leaves out

The new test fails without it; tests/test_told_again.py holds that the registry itself rounds nothing.

--- a/madderbeam/host/host.py
+++ b/madderbeam/host/host.py
@@ -30,7 +30,7 @@
     Send,
     SetTimer,
 )
-from madderbeam.policy.engine import DeliveryEngine
+from madderbeam.policy.engine import RETRY_AFTER_ROUNDING_US, DeliveryEngine
 from madderbeam.policy.events import (
     EndpointEntry,
     EndpointListUpdate,
@@ -338,7 +338,7 @@
         The engine learns of it whatever becomes of the response: otherwise attempts that it sends meanwhile
         would be stopped before they are written, and messages would lose these attempts.
         """
-        if affected := self.registry.apply_retry_after(endpoint, wait_us):
+        if affected := self.registry.apply_retry_after(endpoint, wait_us + RETRY_AFTER_ROUNDING_US):
             self.post_list_update(ListUpdateKind.DELTA, affected)
 
     def _refresh_routing(self) -> None:
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -8,6 +8,7 @@
 from loopback import Client, Discovery, Fleet, answer, bounded, courier, settings
 
 from madderbeam.config.platform import ConfigError, load
+from madderbeam.policy.engine import RETRY_AFTER_ROUNDING_US
 from madderbeam.policy.events import EndpointState
 from madderbeam.ports.real import RealDisk
 
@@ -48,6 +49,16 @@
     assert (await e.call())[3] - told >= 0.7
 
 
+@courier
+async def test_a_wait_holds_for_the_part_of_a_millisecond_that_it_leaves_out(fleet):
+    await fleet.endpoint("a")
+    await fleet.inside()
+    host = fleet.host
+    host.registry.clock = lambda: 0
+    host.apply_retry_after(host.registry.uids["a"], 5_000)
+    assert list(host.registry.waits.values()) == [5_000 + RETRY_AFTER_ROUNDING_US]
+
+
 @courier
 async def test_nothing_goes_to_a_draining_endpoint(fleet):
     a = await fleet.endpoint("a")
