--- a/madderbeam/journal/journal.py
+++ b/madderbeam/journal/journal.py
@@ -712,13 +712,13 @@
             segment.live_bytes -= size
 
     def _move_live_text(self, set_name: str, text: str, old: int, new: int) -> None:
-        """Move a remembered string between the sets of two segments; `set_name` is "ids" or "keys"."""
+        """Move a remembered string from one segment to another; `set_name` is "ids" or "keys"."""
         size = len(text) + ENTRY_OVERHEAD_BYTES
         if old and (segment := self.files.segments.get(old)):
-            getattr(segment, set_name).discard(text)
+            getattr(segment, set_name).pop(text, None)
             segment.live_bytes -= size
         if new and (segment := self.files.segments.get(new)):
-            getattr(segment, set_name).add(text)
+            getattr(segment, set_name)[text] = None
             segment.live_bytes += size
 
     # Space and compaction
--- a/madderbeam/journal/segments.py
+++ b/madderbeam/journal/segments.py
@@ -43,8 +43,9 @@
         self.overhead_bytes = 0  # bytes that every segment has: its header and its "end" record
         self.live_bytes = 0  # bytes
         self.messages: set[int] = set()  # whose newest whole record is here
-        self.ids: set[str] = set()  # remembered ids that are recorded here
-        self.keys: set[str] = set()  # and keys
+        # Remembered ids and keys that are recorded here. They are copied in this order, so a set will not do.
+        self.ids: dict[str, None] = {}
+        self.keys: dict[str, None] = {}
         self.supersedes: set[int] = set()  # older segments with records that records here supersede
         self.has_removal_record = False
         self.is_damaged = False  # kept for examination while there is space
--- a/madderbeam/simulation/books.py
+++ b/madderbeam/simulation/books.py
@@ -260,9 +260,9 @@
         messages = {n: size for n, (home, size) in j.whole_records.items() if home == number}
         yield from _same(f"messages in segment {number}", segment.messages, set(messages))
         ids = {text for text, entry in j.completed_ids.entries.items() if entry[2] == number}
-        yield from _same(f"ids in segment {number}", segment.ids, ids)
+        yield from _same(f"ids in segment {number}", set(segment.ids), ids)
         keys = {text for text, entry in j.keys.entries.items() if entry[2] == number}
-        yield from _same(f"keys in segment {number}", segment.keys, keys)
+        yield from _same(f"keys in segment {number}", set(segment.keys), keys)
         live = sum(messages.values()) + sum(len(text) + ENTRY_OVERHEAD_BYTES for text in (*ids, *keys))
         yield from _same(f"bytes that live in segment {number}", segment.live_bytes, live)
 
