Copies: one earlier response of an endpoint will do where those of all endpoints differ

Change: comparisons of successes with the earlier ones of their endpoints are counted over all endpoints; where the newest 64, eight or more, all differ, an endpoint needs one earlier response instead of eight. One equal response anywhere, and each endpoint needs its own eight again. It makes the first copies that a process sees easier to tell, too. An ignored response with no other behind it by the call's time-out counts as an equal one of its endpoint, which had no end before.

--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -18,7 +18,12 @@
 from madderbeam.policy.events import AttemptResult
 from madderbeam.ports import Address, Network, Socket
 from madderbeam.transport.http import LOCAL_ERRORS, Connection, Exchange, do_nothing, headers_of
-from madderbeam.transport.response_content import EndpointContents, Origin, head_checksum
+from madderbeam.transport.response_content import (
+    ContentComparisons,
+    EndpointContents,
+    Origin,
+    head_checksum,
+)
 from madderbeam.transport.response_ledger import (
     SETTLE_MIN_S,
     UNSOLICITED_LOGGED_BYTES,
@@ -213,6 +218,7 @@
         self.checksum = 0  # of its response
         self.is_distinctive = False  # a later response that is equal is a copy of this one
         self.is_complete = False  # its response
+        self.ignored_checksum = 0  # of a response that was taken for a copy
 
     @property
     def latency_us(self) -> int:
@@ -327,6 +333,7 @@
     def _ignore_copy(self) -> None:
         """Wait on for the request's own response, if more than this one can be read."""
         self.calls.counters.copies += 1
+        self.ignored_checksum = self.checksum
         if self.pool is not None:
             self.pool.copy_seen_at_s = self.calls.loop.time()
         self.calls.report_copy(self, "is a copy of an earlier one")
@@ -390,6 +397,8 @@
         """The courier stops waiting: the connection goes too, or a late answer would meet the next call."""
         if self.path:
             self.calls.probe_ended(self, AttemptResult.TIMEOUT)
+        if self.ignored_checksum and self.pool is not None:
+            self.pool.contents.add(self.ignored_checksum)  # no other came: it may have been its own
         outcome = Outcome(AttemptResult.TIMEOUT if self.sent else AttemptResult.CONNECT_FAILED)
         self.abandon()
         self.finish_all(outcome)
@@ -443,6 +452,7 @@
         self.places: Places | None = None
         self.busy: Counter[int] = Counter()  # calls out by endpoint, where places are shared
         self.counters = ResponseCounters()
+        self.comparisons = ContentComparisons()
         self.retired: dict[Connection, None] = {}  # they carry no further request, but more may come there
         self.is_closed = False
 
@@ -452,7 +462,8 @@
         pool = self.pools.get(endpoint)
         if pool is None or (pool.address, pool.topic, pool.dest) != (address, topic, dest):
             self.close_idle(endpoint)
-            self.pools[endpoint] = Pool(address, topic, dest)
+            contents = EndpointContents(self.comparisons)
+            self.pools[endpoint] = Pool(address, topic, dest, contents=contents)
 
     def forget(self, endpoint: int) -> None:
         self.close_idle(endpoint)
--- a/madderbeam/transport/response_content.py
+++ b/madderbeam/transport/response_content.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 CHECKSUMS_KEPT, CHECKSUMS_MIN = 16, 8  # successful responses of an endpoint
+COMPARISONS_KEPT, COMPARISONS_MIN = 64, 8  # of one with the earlier ones of its endpoint, over all endpoints
 RESPONSES_KEPT, RESPONSES_KEPT_MAX = 16, 128  # on a connection; the most of its newest ones
 COPY_WINDOW_S = 0.5  # behind a response in which a copy of it is to be expected
 
@@ -35,11 +36,25 @@
     return zlib.crc32("\n".join(lines).encode("latin-1", "replace"))
 
 
+class ContentComparisons:
+    """Whether the newest successful responses differed from the earlier ones of their endpoints."""
+
+    def __init__(self) -> None:
+        self.newest: deque[bool] = deque(maxlen=COMPARISONS_KEPT)
+
+    @property
+    def all_differ(self) -> bool:
+        """Whether there were enough, and not one was equal."""
+        return len(self.newest) >= COMPARISONS_MIN and all(self.newest)
+
+
 class EndpointContents:
     """The checksums of an endpoint's newest successful responses to single messages."""
 
-    def __init__(self) -> None:
+    def __init__(self, comparisons: ContentComparisons | None = None) -> None:
+        """`comparisons`: of all endpoints. Where all differ, one earlier response of this one will do."""
         self.checksums: deque[int] = deque(maxlen=CHECKSUMS_KEPT)
+        self.comparisons = comparisons or ContentComparisons()
 
     @property
     def has_equal(self) -> bool:
@@ -49,9 +64,13 @@
     def add(self, checksum: int) -> bool:
         """Count one that is in no doubt; return whether a later one equal to it is sure to be its copy."""
         known = set(self.checksums)
-        all_differ = len(known) == len(self.checksums) >= CHECKSUMS_MIN
+        differs = checksum not in known
+        is_enough = len(known) >= CHECKSUMS_MIN or (bool(known) and self.comparisons.all_differ)
+        all_differ = len(known) == len(self.checksums)
+        if known:
+            self.comparisons.newest.append(differs)
         self.checksums.append(checksum)
-        return all_differ and checksum not in known
+        return is_enough and all_differ and differs
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_response_doubt.py
+++ b/tests/test_response_doubt.py
@@ -11,10 +11,12 @@
 from madderbeam.transport.response_content import (
     CHECKSUMS_KEPT,
     CHECKSUMS_MIN,
+    COMPARISONS_MIN,
     COPY_WINDOW_S,
     RESPONSES_KEPT,
     RESPONSES_KEPT_MAX,
     ConnectionContents,
+    ContentComparisons,
     EndpointContents,
     Origin,
     ReceivedResponse,
@@ -437,6 +439,29 @@
     assert len({head_checksum(200, head) for head in heads}) == 1
 
 
+@pytest.mark.parametrize("has_equal", [False, True])
+def test_the_second_200_of_an_endpoint_tells_copies_where_those_of_all_others_differ(has_equal):
+    comparisons = ContentComparisons()
+    other, endpoint = EndpointContents(comparisons), EndpointContents(comparisons)
+    if has_equal:
+        comparisons.newest.append(False)
+    for n in range(COMPARISONS_MIN + 1):
+        other.add(n)
+    assert not endpoint.add(99)
+    assert endpoint.add(100) == (not has_equal)
+
+
+@held
+async def test_an_ignored_200_with_no_other_behind_it_counts_as_the_requests_own_from_then_on(h):
+    r = DistinctContents(h)
+    call = r.send("b")
+    r.respond(answer(200, b"a"))
+    call.timed_out()
+    assert h.outcomes == [c.Outcome(AttemptResult.TIMEOUT)]
+    assert h.calls.pools[1].contents.has_equal
+    r.theirs.close()
+
+
 def test_equal_200s_of_an_endpoint_are_no_proof_of_a_copy():
     contents = EndpointContents()
     assert [contents.add(1) for _ in range(4)] == [False] * 4
