Links: a ping that comes twice no longer shifts the bound on the sender's clock

Cause: a ping tells when the reply to the ping before it arrived. A copy was taken for a next ping, so that time was paired with the receipt of the ping that had just come; the bound on the sender's clock came out too late by up to the copy's delay, and entries seemed younger than they were. Fix: pings are numbered; one that is not above the newest is counted (repeated_pings) and ignored.

--- a/madderbeam/simulation/fabric.py
+++ b/madderbeam/simulation/fabric.py
@@ -20,6 +20,7 @@
 
 QUEUE = 256  # datagrams that a socket keeps until they are read
 DATAGRAM_MOST = 65_507  # bytes
+COPY_BEHIND_US = (1_000, 120_000)  # what was written to a stream comes again so long behind
 Action = Callable[..., None]
 
 
@@ -31,6 +32,7 @@
         self.latency_us, self.jitter_us = 300, 200
         self.loss = self.double = 0.0  # shares of datagrams
         self.late, self.late_us = 0.0, 0  # share of datagrams that take longer, so out of order
+        self.copies = 0.0  # share of what is written to streams that comes twice
         self.cut = False
         self.held: deque[Callable[[], None]] = deque()  # of streams, while it is cut
 
@@ -68,6 +70,11 @@
 
     def data(self, data: bytes) -> None:
         self._across(self.other._arrived, data)
+        if self.way.copies and self.way.chance.random() < self.way.copies:
+            self.scheduler.after(self.way.chance.randrange(*COPY_BEHIND_US), self._repeat, data)
+
+    def _repeat(self, data: bytes) -> None:
+        self._across(self.other._arrived_again, data)
 
     def ended(self, reset: bool) -> None:
         self._across(self.other._ended, reset)
@@ -93,6 +100,10 @@
         stream.write(data)
         stream.when_read(stream.sent, partial(sender.peer_took, len(data)))
 
+    def _arrived_again(self, data: bytes) -> None:
+        if self.stream is not None:
+            self.stream.write(data)
+
     def _ended(self, reset: bool) -> None:
         if self.stream is None:
             return  # nobody was there any more when the caller's end came up
@@ -157,11 +168,13 @@
         self.networks: dict[str, SimNetwork] = {}
         self.sockets: dict[Address, SimDatagrams] = {}
         self.ways: dict[tuple[str, str], Way] = {}
+        self.copies = 0.0  # on each new way
 
     def way(self, source: str, to: str) -> Way:
         """How things go from one host to the other, in this direction alone."""
         if (source, to) not in self.ways:
             self.ways[source, to] = Way(self.chance)
+            self.ways[source, to].copies = self.copies
         return self.ways[source, to]
 
     # For SimNetwork (network.Between)
--- a/madderbeam/transport/mesh/links.py
+++ b/madderbeam/transport/mesh/links.py
@@ -266,6 +266,7 @@
         self.context, self.connection, self.on_end = context, connection, on_end
         self.member, self.incarnation, self.number = frame.sender, frame.incarnation, number
         self.checked_bytes, self.was_silent = 0, False
+        self.last_ping_number = -1
         self.clock_lead = ClockLeadBound(context.settings.drift_ppm, context.now_us())
         connection.on_frame, connection.on_lost = self._on_frame, self._on_lost
         connection.send(context.identifying_frame(WELCOME, []))
@@ -293,6 +294,10 @@
             raise frames.InvalidFrame(
                 "broken", "row: a ping must have a number and the time of the last reply"
             )
+        if row[0] <= self.last_ping_number:  # its reply time belongs to another ping than the newest
+            self.context.counters.add("repeated_pings")
+            return
+        self.last_ping_number = row[0]
         self.clock_lead.ping_received(now_us, row[1])
         self.connection.send(frames.pack_link_frame(PING_CHANNEL, row[:1]))
 
--- a/tests/simulation/test_federation_seeds.py
+++ b/tests/simulation/test_federation_seeds.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from madderbeam.simulation.federation import play
+from madderbeam.simulation.federation import Federation, play
 
 
 def test_members_of_several_sites_relay_deliver_and_switch_tables():
@@ -54,3 +54,13 @@
     # On a full disk it told others of a start count that was not on its disk, and began with the same again.
     report = play(82884)
     assert "disk_full" in report.kinds and not report.line
+
+
+@pytest.mark.parametrize("seed", [3004, 3055])
+def test_what_comes_twice_on_links_between_members_breaks_no_rule(seed):
+    world = Federation(seed)
+    world.fabric.copies = 0.2
+    for way in world.fabric.ways.values():
+        way.copies = 0.2
+    report = world.play()
+    assert not report.line and report.delivered
