--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for clients, endpoints and the platform, shared by the cases of the review."""
