Log: how each undelivered attempt ended, and each completion; 410s are counted

Each attempt that did not deliver has a line now with message, attempt, endpoint, latency, result, status and whether the message is completed; a completion by notice has one. The status of a response that breaks off behind its first line is known too. `responses.gone` and `responses.gone_doubtful` count 410s by whether they were believed.

--- a/madderbeam/host/attempts.py
+++ b/madderbeam/host/attempts.py
@@ -7,6 +7,7 @@
 import sys
 from collections.abc import Callable
 
+from madderbeam.host.attempt_log import log_attempt_end
 from madderbeam.host.completions import Completions
 from madderbeam.host.endpoint_registry import EndpointRegistry
 from madderbeam.host.metrics import SUCCEEDED, Metrics
@@ -208,6 +209,7 @@
         """Complete the message of an attempt or report its result to the engine; latency in microseconds."""
         message = self.journal.pending.get(item.number)
         is_completed = outcome.over or message is None
+        log_attempt_end(item, endpoint, outcome, latency, is_completed)
         if outcome.over and message:
             self._complete(message, outcome)
         elif message and item.begun and outcome.result in NEVER_EXECUTED and not outcome.may_have_run:
--- a/madderbeam/host/completions.py
+++ b/madderbeam/host/completions.py
@@ -6,6 +6,7 @@
 import logging
 from collections.abc import Callable
 
+from madderbeam.host.attempt_log import log_completion
 from madderbeam.host.components import CompletionListener
 from madderbeam.host.metrics import ABORTED, DECLINED, Metrics
 from madderbeam.journal.journal import Journal
@@ -89,6 +90,7 @@
     def complete(self, m: PendingMessage, status: str, retry_after_ms: int) -> None:
         """Complete a message with a notice of this status; `retry_after_ms` is its Retry-After."""
         self.metrics.count_completion(DECLINED if status == "deferred" else ABORTED, m.class_index)
+        log_completion(m.id, status, retry_after_ms)
         self.cancel_deadline_timer(m.number)
         self.on_completed(m.number)
         self.journal.set_outcome(m, status, retry_after_ms)
--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -35,7 +35,8 @@
 COPIES_REMEMBERED_S = 30.0  # behind the last copy seen at an endpoint
 MAX_WAIT_S = 120.0  # a told wait over this is none that a destination would tell
 NEVER_EXECUTED = (AttemptResult.OVERLOADED, AttemptResult.NOT_SENT)  # as a response may say
-ANSWERS = (200, 400, 410, 413, 429, 500, 503, 504)  # that PROTOCOL names
+GONE = 410  # the message is over: withdrawn by its client, or out of time
+ANSWERS = (200, 400, GONE, 413, 429, 500, 503, 504)  # that PROTOCOL names
 STATES = {
     "done": AttemptResult.OK,
     "failed": AttemptResult.ERROR,
@@ -72,6 +73,7 @@
     wait_us: int = 0  # a told wait
     spoilt: bool = False  # an answer came, but it could not be read
     may_have_run: bool = False  # whatever the result says: the response may be a copy of an earlier one
+    status: int = field(default=0, compare=False)  # of the response, 0 if none could be read; for the log
 
 
 @dataclass
@@ -129,7 +131,7 @@
     if status in (429, 503):
         no_slot = headers.get("slots-taken") == "1"
         return Outcome(AttemptResult.NOT_SENT if no_slot else AttemptResult.OVERLOADED, wait_us=wait)
-    if status == 410:
+    if status == GONE:
         return Outcome(AttemptResult.NOT_SENT, over=True, wait_us=wait)
     if status in (400, 413, 504):  # not sent
         return Outcome(AttemptResult.NOT_SENT, wait_us=wait)
@@ -249,6 +251,7 @@
         self._deliver_early()
 
     def first_line(self, status: int) -> None:
+        self.status = status
         self.is_success = status == 200 and not self.path and not self.bundle
         if self.is_partial:
             self._deliver_early()
@@ -416,12 +419,21 @@
             self.finish(item, outcome)
 
     def finish(self, item: Item, outcome: Outcome) -> None:
+        if outcome.result is not AttemptResult.OK:
+            outcome = replace(outcome, status=self.status)
         if not item.ended:
             item.ended = True
+            self._count_gone(outcome)
             self.calls.hooks.ended(item, self.endpoint, outcome, self.latency_us)
         elif outcome.over:  # of a bundle, whose others were still waited for
             self.calls.hooks.late(item, outcome)
 
+    def _count_gone(self, outcome: Outcome) -> None:
+        if outcome.over and outcome.result is AttemptResult.NOT_SENT:
+            self.calls.counters.gone += 1
+        elif self.status == GONE:
+            self.calls.counters.gone_doubtful += 1
+
 
 class Calls:
     """The calls out and the connections to all endpoints."""
--- a/madderbeam/transport/response_ledger.py
+++ b/madderbeam/transport/response_ledger.py
@@ -137,6 +137,8 @@
     copies: int = 0  # told by their content, and ignored
     confirmed: int = 0  # successes in doubt by their first line, shown to be their request's own by the rest
     revoked: int = 0  # and those not shown to be
+    gone: int = 0  # 410s that completed their message
+    gone_doubtful: int = 0  # 410s that were not believed, since they may be copies or are malformed
 
     def metrics(self) -> dict[str, int]:
         """Return the counters by their metric names."""
@@ -146,6 +148,8 @@
             "responses.mismatched": self.mismatched,
             "responses.doubtful": self.doubtful,
             "responses.copies": self.copies,
+            "responses.gone": self.gone,
+            "responses.gone_doubtful": self.gone_doubtful,
             "deliveries.confirmed": self.confirmed,
             "deliveries.revoked": self.revoked,
         }
