Calls: no request is written where a copy of a 410 could be taken for its own response

Callers saw a message called again, up to three times, whose endpoint had answered that it is over (410: withdrawn by its client, or out of time). Cause: an equal response within 0.65 s on a connection proves nothing, so the second of two 410s in a row counted as a failed attempt and its message was retried. Believing it instead would lose a message behind a copy of a 410. So such a response must not be in doubt in the first place: like a success, a 410 ends its message, and behind one the connection is left alone until no copy of it is to be expected. Nothing in its content tells one 410 from another, so this holds where successes are expected to differ as well.

The unit test of the choice of connection failed before in its four cases. What an earlier version passes on in an upgrade does not tell 410s: there any response may have been one. The row of a doubtful 410 in the table of refusals puts its request on the connection by hand, since none goes there by itself any more.

--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -628,10 +628,10 @@
     def _take_idle(self, pool: Pool, call: Call) -> Connection | None:
         """Take the idle connection that will do for this call.
 
-        It is the newest one on which no copy is to be expected that could be taken for a delivery, and, for
-        messages that may not be repeated, probes, and all while copies are seen there, for a refusal either.
-        Where successes are expected to differ, a message that may be repeated goes also where only the whole
-        response will tell.
+        It is the newest one on which no copy is to be expected that could be taken for the end of its
+        message, and, for messages that may not be repeated, probes, and all while copies are seen there, for
+        a refusal either. Where successes are expected to differ, a message that may be repeated goes also
+        where only the whole response will tell.
         """
         if any(item.fresh for item in call.items):
             return None
@@ -643,10 +643,10 @@
             if connection.closed:
                 continue
             ledger = connection.ledger
-            rested = ledger.has_rested_from_successes if may_meet_refusals else ledger.has_rested
+            rested = ledger.has_rested_from_completions if may_meet_refusals else ledger.has_rested
             if connection.names_requests or rested(now):
                 return self._taken(pool, connection)
-            if fallback is None and may_meet_successes:
+            if fallback is None and may_meet_successes and ledger.has_rested_from_gone(now):
                 fallback = connection
         return self._taken(pool, fallback) if fallback is not None else None
 
@@ -878,7 +878,9 @@
         if connection is None:
             return
         self._count_response(call)
-        response = ReceivedResponse(self.loop.time(), call.is_distinctive, call.status == 200)
+        response = ReceivedResponse(
+            self.loop.time(), call.is_distinctive, is_success=call.status == 200, is_gone=call.status == GONE
+        )
         connection.ledger.response_completed(call.checksum, response)
         if not connection.closed:
             self._keep(call.endpoint, connection)
--- a/madderbeam/transport/response_content.py
+++ b/madderbeam/transport/response_content.py
@@ -93,6 +93,7 @@
     completed_at_s: float  # on the event loop's clock
     is_distinctive: bool  # one that is equal to it is sure to be its copy
     is_success: bool  # its status is 200
+    is_gone: bool = False  # its status is 410: the message is over
 
 
 class ConnectionContents:
@@ -103,6 +104,7 @@
         self.forgotten_at_s = -math.inf  # completion of the newest response that is not kept any more
         self.indistinct_at_s = -math.inf  # completion of the newest response that is not distinctive
         self.indistinct_success_at_s = -math.inf  # and of the newest of these that is a success
+        self.gone_at_s = -math.inf  # completion of the newest 410
 
     def add(self, checksum: int, response: ReceivedResponse) -> None:
         """Keep a response that is complete."""
@@ -112,6 +114,8 @@
             self.indistinct_at_s = response.completed_at_s
             if response.is_success:
                 self.indistinct_success_at_s = response.completed_at_s
+        if response.is_gone:
+            self.gone_at_s = response.completed_at_s
         while len(self.responses) > RESPONSES_KEPT:
             oldest = next(iter(self.responses))
             completed_at_s = self.responses[oldest].completed_at_s
--- a/madderbeam/transport/response_ledger.py
+++ b/madderbeam/transport/response_ledger.py
@@ -4,14 +4,15 @@
 of a response is therefore taken for the response to the next request, and each later response for that to the
 request after its own. Content tells most copies apart (response_content.py). Where it does not, nothing that
 comes later does either: an endpoint that hangs sends no more than one whose response was its own. So no
-request is written while a copy of an earlier response is to be expected that could be taken for its success,
-unless the whole response will show that it is none:
+request is written while a copy of an earlier response is to be expected that could be taken for the end of
+its message (a success, or a 410), unless the whole response will show that it is none:
 
     on the connection, in the last COPY_WINDOW_S        goes there
     nothing, or responses whose copies content tells    every message
-    others, none of them a success                      messages that may be repeated
-    others, a success among them                        messages that may be repeated, where successes are
+    others, neither a success nor a 410                 messages that may be repeated
+    others, a success and no 410 among them             messages that may be repeated, where successes are
                                                         expected to differ; else none
+    a 410                                               none
 
 A whole response that differs from all of these is its request's own. One that is equal to an earlier one
 proves nothing, and ends its connection; a first line with 200 behind a success proves nothing by itself.
@@ -77,6 +78,7 @@
         return {
             "times": [_stored(self.last_response_at_s), None],
             "successes": [_stored(self.last_success_at_s), _stored(self.contents.indistinct_success_at_s)],
+            "gone": _stored(self.contents.gone_at_s),
             "responses": self.contents.state(),
         }
 
@@ -94,6 +96,8 @@
             self.last_success_at_s, self.contents.indistinct_success_at_s = successes
         else:
             self.last_success_at_s = self.last_response_at_s
+        # An earlier version does not tell which responses were 410s: each may have been one.
+        self.contents.gone_at_s = _restored(state["gone"]) if "gone" in state else self.last_response_at_s
 
     # Doubt
 
@@ -101,9 +105,14 @@
         """Whether no copy is to be expected that its content does not tell."""
         return now_s - self.contents.indistinct_at_s >= COPY_WINDOW_S
 
-    def has_rested_from_successes(self, now_s: float) -> bool:
-        """Whether no copy of a success is to be expected that its content does not tell."""
-        return now_s - self.contents.indistinct_success_at_s >= COPY_WINDOW_S
+    def has_rested_from_completions(self, now_s: float) -> bool:
+        """Whether no copy is to be expected that could be taken for the end of another message."""
+        since_success_s = now_s - self.contents.indistinct_success_at_s
+        return since_success_s >= COPY_WINDOW_S and self.has_rested_from_gone(now_s)
+
+    def has_rested_from_gone(self, now_s: float) -> bool:
+        """Whether no copy of a 410 is to be expected."""
+        return now_s - self.contents.gone_at_s >= COPY_WINDOW_S
 
     def doubts_success(self, now_s: float) -> bool:
         """Whether a success that is received now may be a copy, as far as its first line tells."""
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -57,6 +57,7 @@
     ledger.last_success_at_s -= seconds
     contents.indistinct_at_s -= seconds
     contents.indistinct_success_at_s -= seconds
+    contents.gone_at_s -= seconds
     for checksum, response in contents.responses.items():
         contents.responses[checksum] = replace(response, completed_at_s=response.completed_at_s - seconds)
 
--- a/tests/test_response_doubt.py
+++ b/tests/test_response_doubt.py
@@ -23,7 +23,7 @@
     ReceivedResponse,
     head_checksum,
 )
-from madderbeam.transport.response_ledger import ResponseLedger
+from madderbeam.transport.response_ledger import NEVER_S, ResponseLedger
 
 RESPONSE = answer(200)
 
@@ -49,6 +49,11 @@
         call = next(reversed(self.h.calls.out))
         return call
 
+    def send_here(self, *ids):
+        """Send messages on this connection, also behind a 410: a process of an earlier version may have."""
+        self.connection.ledger.contents.gone_at_s = NEVER_S
+        assert self.send(*ids).connection is self.connection
+
     def respond(self, data):
         """The endpoint writes this, and it is read."""
         self.theirs.sendall(data)
@@ -89,6 +94,32 @@
     r.theirs.close()
 
 
+@pytest.mark.parametrize("ids", ["b", "bc"])
+@pytest.mark.parametrize("differences", [0, 1])
+def test_no_message_goes_where_a_copy_of_a_410_would_be_taken_for_its_own(ids, differences):
+    async def run(h):
+        h.calls.comparisons.newest.extend([True] * differences)
+        r = Reuse(h, answer(410))
+        sent = [r.send(*ids) for _ in range(3)]
+        assert r.connection not in [call.connection for call in sent]
+        r.respond(answer(410))  # a copy
+        assert h.outcomes == [] and r.connection.closed
+        assert all(call in h.calls.out for call in sent)
+        r.theirs.close()
+
+    held(run)()
+
+
+@held
+async def test_a_message_goes_where_a_copy_of_a_410_is_no_more_to_be_expected(h):
+    r = Reuse(h, answer(410))
+    rest(r.connection, COPY_WINDOW_S)
+    assert r.send("b").connection is r.connection
+    r.respond(answer(410))
+    assert h.outcomes == [c.Outcome(AttemptResult.NOT_SENT, over=True)] and not r.connection.closed
+    r.theirs.close()
+
+
 @held
 async def test_an_equal_success_that_was_expected_to_differ_proves_nothing_and_is_learnt(h):
     expecting_differences(h)
@@ -183,7 +214,7 @@
 def test_a_refusal_soon_behind_an_equal_one_proves_nothing_and_its_connection_is_closed(response, outcome):
     async def run(h):
         r = Reuse(h, response)
-        r.send("b")
+        r.send_here("b")
         r.respond(response)
         assert h.outcomes == [outcome] and r.connection.closed and not h.calls.idle
         r.theirs.close()
@@ -266,23 +297,31 @@
     theirs.close()
 
 
-@pytest.mark.parametrize("is_success", [True, False])
-def test_a_connection_rests_for_as_long_as_copies_are_to_be_expected(is_success):
+@pytest.mark.parametrize(("is_success", "is_gone"), [(True, False), (False, True), (False, False)])
+def test_a_connection_rests_for_as_long_as_copies_are_to_be_expected(is_success, is_gone):
     ledger, late_s = ResponseLedger(), 10.0 + COPY_WINDOW_S - 0.01
-    assert ledger.has_rested(10.0) and ledger.has_rested_from_successes(10.0)
-    ledger.response_completed(1, ReceivedResponse(10.0, is_distinctive=False, is_success=is_success))
+    assert ledger.has_rested(10.0) and ledger.has_rested_from_completions(10.0)
+    response = ReceivedResponse(10.0, is_distinctive=False, is_success=is_success, is_gone=is_gone)
+    ledger.response_completed(1, response)
     assert not ledger.has_rested(late_s) and ledger.has_rested(10.0 + COPY_WINDOW_S)
-    assert ledger.has_rested_from_successes(late_s) != is_success
+    assert ledger.has_rested_from_completions(late_s) != (is_success or is_gone)
+    assert ledger.has_rested_from_gone(late_s) != is_gone
     assert ledger.doubts_success(late_s) == is_success
-    assert ledger.has_rested_from_successes(10.0 + COPY_WINDOW_S)
+    assert ledger.has_rested_from_completions(10.0 + COPY_WINDOW_S)
 
 
-@pytest.mark.parametrize("version", ["with times alone", "without times of successes", "this one"])
+@pytest.mark.parametrize(
+    "version", ["with times alone", "without times of successes", "without times of 410s", "this one"]
+)
 def test_another_process_expects_copies_as_long_as_this_one_does(version):
     ledger, other = ResponseLedger(), ResponseLedger()
+    gone = ReceivedResponse(9.0, is_distinctive=False, is_success=False, is_gone=True)
+    ledger.response_completed(2, gone)
     ledger.response_completed(1, ReceivedResponse(10.0, is_distinctive=False, is_success=True))
     state = ledger.state()
     if version != "this one":
+        del state["gone"]
+    if version in ("with times alone", "without times of successes"):
         del state["successes"]
     if version == "with times alone":
         state["responses"] = []
@@ -290,6 +329,7 @@
     other.adopt(state)
     late_s = 10.0 + COPY_WINDOW_S - 0.01
     assert other.doubts_success(late_s) and not other.doubts_success(10.0 + COPY_WINDOW_S)
+    assert other.has_rested_from_gone(late_s) == (version == "this one")
     assert other.origin(1, late_s) is Origin.UNKNOWN
     assert other.origin(1, 10.0 + COPY_WINDOW_S) is Origin.OWN
 
--- a/tests/test_unsolicited_responses.py
+++ b/tests/test_unsolicited_responses.py
@@ -69,6 +69,8 @@
             "responses.mismatched": 2,
             "responses.doubtful": 0,
             "responses.copies": 0,
+            "responses.gone": 0,
+            "responses.gone_doubtful": 0,
             "deliveries.confirmed": 0,
             "deliveries.revoked": 0,
         }
--- a/tests/test_withdrawn_messages.py
+++ b/tests/test_withdrawn_messages.py
@@ -8,7 +8,7 @@
 import json
 
 import pytest
-from loopback import Fleet, Server, answer, read_request
+from loopback import Fleet, Server, answer, bounded, read_request
 
 GONE = answer(410)
 COUNT = 24  # messages of a run, two of three withdrawn
@@ -93,3 +93,78 @@
 
     found = asyncio.run(run())
     assert {row: outcome for row, outcome in found.items() if outcome != ([], set())} == {}
+
+
+WORK_S = (0.0, 0.05, 0.4)
+WAYS_S = (0.0, 0.03)
+BEHIND_S = (0.0, 0.003, 0.03, 0.12, 0.3, 0.5)
+LATE_S = 0.05  # more, and a copy would come later than half a second behind its response
+
+
+class CopyingEndpoint(Server):
+    """Answers each withdrawn message with 410 and once more some time behind it; then it works, or hangs."""
+
+    def __init__(self, hangs, way_s, work_s, behind_s):
+        super().__init__()
+        self.hangs, self.way_s, self.work_s, self.behind_s = hangs, way_s, work_s, behind_s
+        self.delivered, self.told = set(), set()
+
+    async def serve(self, reader, writer):
+        while True:
+            _, _, headers, _ = await read_request(reader)
+            await asyncio.sleep(self.way_s)
+            ident = headers["x-request-id"]
+            if ident.startswith("withdrawn"):
+                self.told.add(ident)
+                self._write(writer, 0.0)
+                self._write(writer, self.behind_s)
+                continue
+            if self.hangs:
+                await reader.read()
+                return
+            await asyncio.sleep(self.work_s)
+            self.delivered.add(ident)
+            writer.write(answer(200, ident.encode()))
+
+    def _write(self, writer, delay_s):
+        loop = asyncio.get_running_loop()
+        due_at = loop.time() + self.way_s + delay_s
+
+        def write():
+            if loop.time() - due_at < LATE_S:
+                writer.write(GONE)
+
+        loop.call_at(due_at, write)
+
+
+async def undone_behind_copies(folder, hangs, way_s, work_s, behind_s):
+    """Return the messages behind copied 410s that were not delivered, nor reported by a hung endpoint."""
+    folder.mkdir()
+    async with Fleet(folder) as fleet:
+        endpoint = fleet.endpoints["a"] = await CopyingEndpoint(hangs, way_s, work_s, behind_s).start()
+        fleet.discovery.target("a", endpoint.port, 7, rate=1000.0)
+        client = await fleet.inside()
+        wanted = set()
+        for number in range(4):
+            assert await client.put(f"withdrawn{number}", life=LIFE_MS) == "+OK"
+            await asyncio.sleep(2 * way_s + 0.01)
+            wanted.add(f"wanted{number}")
+            assert await client.put(f"wanted{number}", life=LIFE_MS) == "+OK"
+        loop = asyncio.get_running_loop()
+        undone, last_at = set(wanted), loop.time() + LIFE_MS / 1e3 + ENDED_S
+        while undone and loop.time() < last_at:
+            await asyncio.sleep(0.05)
+            undone -= endpoint.delivered
+            while hangs and not fleet.discovery.finals.empty():
+                undone.discard(fleet.discovery.finals.get_nowait()[1]["id"])
+        return undone
+
+
+@pytest.mark.parametrize("hangs", [False, True])
+def test_a_copy_of_a_410_ends_no_other_message(hangs, tmp_path):
+    async def run():
+        rows = list(itertools.product(WAYS_S, WORK_S, BEHIND_S))
+        plays = [undone_behind_copies(tmp_path / str(n), hangs, *row) for n, row in enumerate(rows)]
+        return dict(zip(rows, await bounded(asyncio.gather(*plays)), strict=True))
+
+    assert {row: idents for row, idents in asyncio.run(run()).items() if idents} == {}
