Completion: a message that a response calls over without proof is ended by a notice

Cause: such a response proves nothing, so the attempt counted as failed and the message was retried. Believing it would lose a message behind a spoilt or misplaced 410; a retry breaks the rule if it is true. A notice does no harm to a message that is over (PROTOCOL), so the engine completes the message: rejected where that is harmless, else failed. It learns nothing from a client that does not come again.

A bundle's response that names a message void is proof, as done is: a copy would name a message that had ended.

--- a/madderbeam/host/attempt_log.py
+++ b/madderbeam/host/attempt_log.py
@@ -21,6 +21,8 @@
         parts.append(f"retry-after {outcome.wait_us // 1000} ms")
     if outcome.may_have_run:
         parts.append("in doubt")
+    if outcome.may_be_over:
+        parts.append("the message may be completed")
     if is_completed:
         parts.append("the message is completed")
     log.info(
--- a/madderbeam/host/attempts.py
+++ b/madderbeam/host/attempts.py
@@ -228,6 +228,7 @@
                 item.fresh if item.begun else None,
                 outcome.spoilt,
                 outcome.may_have_run,
+                outcome.may_be_over,
             )
         )
         self.after_attempt()
--- a/madderbeam/policy/completion.py
+++ b/madderbeam/policy/completion.py
@@ -24,6 +24,16 @@
         """Whether clients mark their retries, and many rejections were followed by none."""
         return self.state.settings.clients_mark_retries and self.rejections_in_a_row >= MIN_REJECTIONS
 
+    def complete_in_doubt(self, message: Message) -> None:
+        """Complete a message that may be completed already, as an endpoint says without proof.
+
+        Another attempt could follow its end, and silence could lose it; a notice does no harm in either case.
+        That its client does not retry shows nothing.
+        """
+        rejections_in_a_row = self.rejections_in_a_row
+        self.complete(message, 0)
+        self.rejections_in_a_row = rejections_in_a_row
+
     def complete(self, message: Message, retry_after_us: int) -> None:
         """Reject the message if its attempts prove that a new one is harmless, else fail it."""
         state = self.state
--- a/madderbeam/policy/events.py
+++ b/madderbeam/policy/events.py
@@ -116,6 +116,7 @@
     on_new_connection: bool | None = None  # None: the host can't tell
     malformed: bool = False  # with ERROR: a response came that can't be parsed
     may_have_run: bool = False  # whatever the result says: it rests on a response that may be another's
+    may_be_completed: bool = False  # a response says that the message is completed, and proves nothing
 
 
 @dataclass(frozen=True, slots=True)
--- a/madderbeam/policy/retries.py
+++ b/madderbeam/policy/retries.py
@@ -33,6 +33,9 @@
         if may_have_run and message.possibly_executed_at_us < 0:
             message.possibly_executed_at_us = call.sent_at_us
             message.possibly_executed_zone = call.zone
+        if event.may_be_completed:
+            self.completer.complete_in_doubt(message)
+            return
         if message.in_flight:
             return
         pause_us = self._pause_us(message, event)
--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -73,6 +73,7 @@
     wait_us: int = 0  # a told wait
     spoilt: bool = False  # an answer came, but it could not be read
     may_have_run: bool = False  # whatever the result says: the response may be a copy of an earlier one
+    may_be_over: bool = False  # a response says so that proves nothing: neither send again nor keep silent
     status: int = field(default=0, compare=False)  # of the response, 0 if none could be read; for the log
 
 
@@ -359,9 +360,9 @@
         all_done = all(outcome.result is AttemptResult.OK for outcome in outcomes)
         self.is_distinctive = all_done  # no later request names these messages
         for item, outcome in zip(self.items, outcomes, strict=True):
-            is_named_done = outcome.result is AttemptResult.OK
-            proven = outcome if is_named_done or not self.is_doubtful else without_proof(outcome)
-            self.finish(item, proven)
+            # One that names the message done or void is no copy: the message would have ended with the first.
+            is_proven = outcome.over or not self.is_doubtful
+            self.finish(item, outcome if is_proven else without_proof(outcome))
 
     def spoilt(self) -> None:
         """A failed attempt that may have run."""
@@ -420,7 +421,8 @@
 
     def finish(self, item: Item, outcome: Outcome) -> None:
         if outcome.result is not AttemptResult.OK:
-            outcome = replace(outcome, status=self.status)
+            may_be_over = self.status == GONE and not outcome.over
+            outcome = replace(outcome, status=self.status, may_be_over=may_be_over)
         if not item.ended:
             item.ended = True
             self._count_gone(outcome)
--- a/tests/test_withdrawn_messages.py
+++ b/tests/test_withdrawn_messages.py
@@ -6,6 +6,7 @@
 import asyncio
 import itertools
 import json
+from collections import Counter
 
 import pytest
 from loopback import Fleet, Server, answer, bounded, read_request
@@ -168,3 +169,62 @@
         return dict(zip(rows, await bounded(asyncio.gather(*plays)), strict=True))
 
     assert {row: idents for row, idents in asyncio.run(run()).items() if idents} == {}
+
+
+HEAD = b"HTTP/1.1 410 x\r\n"
+UNPROVEN = {
+    "two lengths": HEAD + b"Content-Length: 0\r\nContent-Length: 3\r\n\r\n",
+    "a head that can't be read": HEAD + b"Bad\x00Head: 1\r\n\r\n",
+    "a body that is too long": HEAD + b"Content-Length: 2\r\n\r\nno room here",
+    "a body without end": HEAD + b"Content-Length: 3000000000\r\n\r\n" + b"x" * 70000,
+    "a body that stops": HEAD + b"Content-Length: 10\r\n\r\nno",
+    "a head that stops": HEAD + b"Content-Le",
+    "a head that breaks off": HEAD + b"Content-Le",
+}
+
+
+class UnprovenEndpoint(Server):
+    """Tells the end of each message by a 410 that proves nothing."""
+
+    def __init__(self, form):
+        super().__init__()
+        self.form, self.calls = form, []
+
+    async def serve(self, reader, writer):
+        while True:
+            _, _, headers, _ = await read_request(reader)
+            self.calls.append(headers["x-request-id"])
+            writer.write(UNPROVEN[self.form])
+            if self.form == "a head that breaks off":
+                return
+
+
+async def unproven(folder, form, kind):
+    """Return how often each message was called, and the notices."""
+    folder.mkdir()
+    async with Fleet(folder) as fleet:
+        endpoint = fleet.endpoints["a"] = await UnprovenEndpoint(form).start()
+        fleet.discovery.target("a", endpoint.port, 7, rate=1000.0)
+        client = await fleet.outside()
+        idents = ["m0", "m1", "m2"]
+        for ident in idents:
+            key = f"key{ident}" if kind == "keyed" else ""
+            assert await client.put(ident, kind=kind, life=LIFE_MS, key=key) == "+OK"
+            await asyncio.sleep(0.02)
+        notices = {}
+        while len(notices) < len(idents):
+            final = await fleet.discovery.final()
+            notices[final["id"]] = final["status"]
+        await asyncio.sleep(QUIET_S)
+        return Counter(endpoint.calls), notices
+
+
+@pytest.mark.parametrize("form", UNPROVEN)
+def test_a_message_with_a_410_that_proves_nothing_is_called_no_more_and_reported(form, tmp_path):
+    async def run():
+        plays = [unproven(tmp_path / kind, form, kind) for kind in KINDS]
+        return dict(zip(KINDS, await bounded(asyncio.gather(*plays)), strict=True))
+
+    found = asyncio.run(run())
+    assert {kind: calls for kind, (calls, _) in found.items() if max(calls.values()) > 1} == {}
+    assert set(found["unsafe"][1].values()) == {"undeliverable"}  # it may have run
