Calls: a 410 ahead of its request's last byte ends no message

A 410 that came on a new connection ahead of the request, which is then not written at all, completed its message: it was over with no effect and no notice. So did one that came while the request was being written. An endpoint begins a call with its last byte (PROTOCOL), so neither is proof. The first can't be about this message: the attempt was not sent. The second may have been read from the head: the message is ended by a notice.

--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -197,6 +197,7 @@
         self.bundled = len(items) > 1
         self.write_by = math.inf  # the loop's time at which its last byte has to be written
         self.sent = False  # its last byte was written: only then may it have run
+        self.is_rejected_unwritten = False  # a response came ahead of it: no byte of it was written
         self.is_doubtful = False  # its response may be a copy of an earlier one
         self.is_partial = False  # a first part of its response came alone
         self.is_success = False  # the first line said so, of a single message
@@ -317,10 +318,19 @@
             self.calls.strange(self.endpoint, self, "is followed by bytes that are no response")
             self.finish_all(Outcome(AttemptResult.ERROR, wait_us=told_wait(self.headers), spoilt=True))
         elif self.open:
-            outcome = single_outcome(self.status, self.headers)
-            self.finish_all(without_proof(outcome) if self.is_doubtful else outcome)
+            self.finish_all(self._outcome())
         self.calls.release(self)
 
+    def _outcome(self) -> Outcome:
+        outcome = single_outcome(self.status, self.headers)
+        if not self.sent and outcome.over:  # a call begins with its last byte: no endpoint knows its message
+            return Outcome(AttemptResult.NOT_SENT, wait_us=outcome.wait_us)
+        return without_proof(outcome) if self.is_doubtful else outcome
+
+    def _may_be_over(self, outcome: Outcome) -> bool:
+        """Whether the response calls the message over, and does not prove it."""
+        return self.status == GONE and not outcome.over and not self.is_rejected_unwritten
+
     def _probe_result(self) -> AttemptResult:
         if self.status != 200:
             return AttemptResult.OVERLOADED
@@ -421,8 +431,7 @@
 
     def finish(self, item: Item, outcome: Outcome) -> None:
         if outcome.result is not AttemptResult.OK:
-            may_be_over = self.status == GONE and not outcome.over
-            outcome = replace(outcome, status=self.status, may_be_over=may_be_over)
+            outcome = replace(outcome, status=self.status, may_be_over=self._may_be_over(outcome))
         if not item.ended:
             item.ended = True
             self._count_gone(outcome)
@@ -812,6 +821,7 @@
             item.begun = True
         connection.ledger.request_started(tuple(item.id for item in items))
         if is_rejected_early:
+            call.is_rejected_unwritten = True
             connection.read_rejection(call)
         elif call.path:
             connection.request("GET", call.path, [], b"", call)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -476,6 +476,26 @@
     held(run)()
 
 
+def test_a_410_that_came_ahead_of_the_request_ends_no_message():
+    # It can't be about this message: it was over with no effect and no notice.
+    async def run(h):
+        others = send_behind(h, answer(410))
+        outcome = (await bounded(h.o.ended.get()))[1]
+        assert outcome == c.Outcome(AttemptResult.NOT_SENT)
+        assert not h.calls.out
+        others[0].close()
+
+    held(run)()
+
+
+@held
+async def test_a_410_that_came_ahead_of_the_last_byte_of_the_request_proves_nothing(h):
+    call, theirs = h.call("a", rest=BIG)
+    h.told(call, theirs, answer(410))
+    assert h.outcomes == [c.Outcome(AttemptResult.NOT_SENT, may_be_over=True)]
+    theirs.close()
+
+
 # Given up in the instant of the answer
 
 
