Calls: a 410 that comes right behind a copy of an earlier response is heard

Another way to the incident's fault, found by reading: where a request gets a copy of an earlier refusal and its own 410 in one read, the first counted as its response, in doubt, and the connection was closed with the 410 unheard; the message was retried. Now the status of what follows is kept: if a doubtful response is followed by a 410, the message may be over and is ended by a notice. Not covered: a 410 that comes after the connection is closed.

--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -328,8 +328,14 @@
         return without_proof(outcome) if self.is_doubtful else outcome
 
     def _may_be_over(self, outcome: Outcome) -> bool:
-        """Whether the response calls the message over, and does not prove it."""
-        return self.status == GONE and not outcome.over and not self.is_rejected_unwritten
+        """Whether the response calls the message over, and does not prove it.
+
+        One that may be a copy may have come ahead of the request's own.
+        """
+        if outcome.over or self.is_rejected_unwritten:
+            return False
+        is_followed_by_gone = self.connection is not None and self.connection.trailing_status == GONE
+        return self.status == GONE or (self.is_doubtful and is_followed_by_gone)
 
     def _probe_result(self) -> AttemptResult:
         if self.status != 200:
--- a/madderbeam/transport/http.py
+++ b/madderbeam/transport/http.py
@@ -84,6 +84,7 @@
         self.began_early = False  # before its request was written whole: it does not show that this has run
         self.has_trailing_data = False
         self.is_trailing_response = False  # what follows is a response, too
+        self.trailing_status = 0  # of the newest response that follows
 
     def release(self) -> None:
         """Break the reference cycle with the parser; nothing more is read."""
@@ -114,6 +115,8 @@
 
     def on_headers_complete(self) -> None:
         """Callback of httptools."""
+        if self.has_trailing_data:
+            self.trailing_status = self.parser.get_status_code()
         if self.has_trailing_data or self.parser.get_status_code() < 200:
             return
         self.has_headers = True
@@ -212,6 +215,7 @@
         self.unsolicited = b""  # the first bytes that came with no request in flight
         self.has_trailing_data = False  # more than one response came to the last request
         self.trailing_headers: dict[str, str] = {}  # of the further ones
+        self.trailing_status = 0  # of the newest of these
         self.reading = False
         self._out, self._sent = b"", 0
 
@@ -331,6 +335,7 @@
             return
         self.answer = None
         self.has_trailing_data, self.trailing_headers = answer.has_trailing_data, answer.trailing_headers
+        self.trailing_status = answer.trailing_status
         if not self.written or answer.began_early or not answer.may_keep_alive or answer.has_trailing_data:
             self.close()
         answer.exchange.end(answer.has_trailing_data and not answer.is_trailing_response)
--- a/madderbeam/transport/kafka/partner.py
+++ b/madderbeam/transport/kafka/partner.py
@@ -152,6 +152,7 @@
 
     names_requests = True
     has_trailing_data = False
+    trailing_status = 0
     unsolicited = b""  # a response names its request; one that nobody asked for breaks the connection
     midway = True  # a call that is out is not passed on to another process
     rest = b""
--- a/tests/test_response_doubt.py
+++ b/tests/test_response_doubt.py
@@ -110,6 +110,29 @@
     held(run)()
 
 
+@pytest.mark.parametrize("copied", [answer(500), answer(503), answer(504)])
+def test_a_410_right_behind_a_copy_of_a_refusal_lets_no_message_go_again(copied):
+    async def run(h):
+        r = Reuse(h, copied)
+        r.send("b")
+        r.respond(copied + answer(410))
+        (outcome,) = h.outcomes
+        assert outcome.may_be_over and not outcome.over and r.connection.closed
+        r.theirs.close()
+
+    held(run)()
+
+
+@held
+async def test_a_410_right_behind_a_copy_that_is_told_by_content_lets_no_message_go_again(h):
+    r = DistinctContents(h)
+    r.send("b")
+    r.respond(answer(200, b"a") + answer(410))
+    (outcome,) = h.outcomes
+    assert outcome.may_be_over and not outcome.over and r.connection.closed
+    r.theirs.close()
+
+
 @held
 async def test_a_message_goes_where_a_copy_of_a_410_is_no_more_to_be_expected(h):
     r = Reuse(h, answer(410))
