--- a/madderbeam/host/process.py
+++ b/madderbeam/host/process.py
@@ -14,7 +14,7 @@
 from dataclasses import replace
 
 from madderbeam.config.platform import Config, ConfigError, load
-from madderbeam.host import process_upgrade
+from madderbeam.host import attempt_log, process_upgrade
 from madderbeam.host.composition import assemble
 from madderbeam.host.config_reload import ConfigReloader
 from madderbeam.host.host import Host
@@ -26,7 +26,7 @@
 # Thresholds of the garbage collector's generations: allocations less deallocations for the youngest one, then
 # collections of the generation below.
 GC_THRESHOLDS = (1_000, 3, 500)
-MAX_LINES_PER_S, MAX_INFO_LINES_PER_S = 50, 40  # of the log
+MAX_LINES_PER_S, MAX_MESSAGE_LINES_PER_S = 50, 30  # of the log
 TRACE_VARIABLE = "MADDERBEAM_TRACE"  # if set, all decisions are written to standard error
 log = logging.getLogger(__name__)
 
@@ -34,25 +34,25 @@
 class LineRateFilter(logging.Filter):
     """Limits the log lines per second: a flood of them would stall the event loop.
 
-    Lines below WARNING have a limit of their own within it, so that they leave room for the others.
+    Lines on single messages have a limit of their own within it, so that they leave room for the others.
     """
 
-    def __init__(self, clock: Clock, max_per_s: int, max_info_per_s: int) -> None:
+    def __init__(self, clock: Clock, max_per_s: int, max_messages_per_s: int) -> None:
         super().__init__()
-        self.clock, self.max_per_s, self.max_info_per_s = clock, max_per_s, max_info_per_s
+        self.clock, self.max_per_s, self.max_messages_per_s = clock, max_per_s, max_messages_per_s
         self.second = 0
         self.count = 0
-        self.info_count = 0
+        self.message_count = 0
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Whether the line is within the limits of the current second."""
         second = self.clock.monotonic_us() // 1_000_000
         if second != self.second:
-            self.second, self.count, self.info_count = second, 0, 0
-        if record.levelno < logging.WARNING:
-            if self.info_count >= self.max_info_per_s:
+            self.second, self.count, self.message_count = second, 0, 0
+        if record.name == attempt_log.__name__:
+            if self.message_count >= self.max_messages_per_s:
                 return False
-            self.info_count += 1
+            self.message_count += 1
         self.count += 1
         return self.count <= self.max_per_s
 
@@ -157,9 +157,9 @@
 
 
 def log_to_stderr() -> None:
-    """Log plain lines to standard error, at most 50 a second, 40 of them below WARNING."""
+    """Log plain lines to standard error, at most 50 a second, 30 of them on single messages."""
     handler = logging.StreamHandler()
-    handler.addFilter(LineRateFilter(RealClock(), MAX_LINES_PER_S, MAX_INFO_LINES_PER_S))
+    handler.addFilter(LineRateFilter(RealClock(), MAX_LINES_PER_S, MAX_MESSAGE_LINES_PER_S))
     logging.basicConfig(
         level=logging.INFO, handlers=[handler], format="%(asctime)s %(levelname)s %(message)s"
     )
--- a/tests/test_attempt_log.py
+++ b/tests/test_attempt_log.py
@@ -6,6 +6,7 @@
 import pytest
 from loopback import answer, courier
 
+from madderbeam.host import attempt_log
 from madderbeam.host.process import LineRateFilter
 
 
@@ -42,11 +43,11 @@
         return 1
 
 
-def test_lines_below_warning_leave_room_for_the_others():
+def test_lines_on_single_messages_leave_room_for_the_others():
     limit = LineRateFilter(Clock(), 5, 3)
 
-    def passes(level):
-        return limit.filter(logging.LogRecord("x", level, "", 0, "", (), None))
+    def passes(name):
+        return limit.filter(logging.LogRecord(name, logging.INFO, "", 0, "", (), None))
 
-    assert [passes(logging.INFO) for _ in range(5)] == [True] * 3 + [False] * 2
-    assert [passes(logging.ERROR) for _ in range(3)] == [True] * 2 + [False]
+    assert [passes(attempt_log.__name__) for _ in range(5)] == [True] * 3 + [False] * 2
+    assert [passes("madderbeam.host.process") for _ in range(3)] == [True] * 2 + [False]
