Tests: no finalizer that warns runs while a failure is described or modules are parsed

CPython 3.11 raises "SystemError: AST constructor recursion depth mismatch" if a finalizer that warns runs amid ast.parse. The collector is paused while a failure is described, collects before modules are parsed, and a Fleet closes the clients that it opened.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,7 +9,9 @@
 
 from __future__ import annotations
 
+import gc
 import re
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import pytest
@@ -85,6 +87,20 @@
             terminalreporter.line(f"ERROR: it passed, was not run or does not exist: {known.test}")
 
 
+@pytest.hookimpl(wrapper=True, tryfirst=True)
+def pytest_runtest_makereport() -> Iterator[None]:
+    """Describe failures with the garbage collector paused.
+
+    CPython 3.11 raises SystemError if a finalizer that warns runs amid ast.parse, which pytest calls for each
+    failure; the worker, and with it the whole run, would end with an internal error.
+    """
+    gc.disable()
+    try:
+        return (yield)
+    finally:
+        gc.enable()
+
+
 def pytest_configure(config: pytest.Config) -> None:
     path = config.rootpath / FILE
     if not path.exists():
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -12,6 +12,7 @@
 import socket
 import struct
 import sys
+import weakref
 from dataclasses import replace
 
 from madderbeam.config.platform import load, load_sidecar
@@ -317,6 +318,7 @@
         self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3, **limits}
         self.discovery, self.endpoints, self.host, self.process = Discovery(), {}, None, None
         self.controlled = False
+        self.opened = weakref.WeakSet()  # clients: a writer that outlives its loop raises as it is collected
 
     async def __aenter__(self):
         (self.folder / "state").mkdir(exist_ok=True)
@@ -324,6 +326,8 @@
         return self
 
     async def __aexit__(self, *_):
+        for client in self.opened:
+            client.writer.close()
         if self.host:
             self.host.close()
         if self.process and self.process.returncode is None:
@@ -361,7 +365,11 @@
         """Start the courier in this process; returns a client of it."""
         loop = asyncio.get_running_loop()
         self.host = assemble(loop, real_ports(loop), load(self.env(), RealDisk()))
-        return await Client().open(self.host.start())
+        return await self._open(self.host.start())
+
+    async def _open(self, port):
+        self.opened.add(client := await Client().open(port))
+        return client
 
     def control(self):
         """The port of the second address, asked for with `controlled`."""
@@ -391,7 +399,7 @@
             assert line, "the courier ended"
             if "is ready on port" in line:
                 self.port = int(line.split("is ready on port ")[1].split()[0])
-                return await Client().open(self.port)
+                return await self._open(self.port)
 
     async def kill(self):
         self.process.send_signal(signal.SIGKILL)
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -1,6 +1,7 @@
 """The house: imports point one way, in the whole package, imports for types included."""
 
 import ast
+import gc
 import pathlib
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -19,6 +20,7 @@
 def modules():
     """Each module's imports of the package itself."""
     found = {}
+    gc.collect()  # CPython 3.11 raises SystemError if a finalizer that warns runs amid ast.parse
     for path in (ROOT / "madderbeam").rglob("*.py"):
         name = ".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__")
         found[name] = set()
