Soak: clients withdraw messages, endpoints answer 410, and no call may follow one

In half of the drawn runs a tenth or two fifths of the accepted messages are withdrawn up to 0.6 s behind their answer; the judge wants no call behind a 410 by a process that was told it.

--- a/tests/soaking/soak_clients.py
+++ b/tests/soaking/soak_clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import time
 from collections import deque
@@ -16,6 +17,7 @@
 
 CONNECTIONS_MAX = 3  # of each client
 PIECE_PAUSE_S = 0.004
+WITHDRAWN_AFTER_S = (0.0, 0.6)  # behind its answer
 CONNECT_PAUSE_S = 0.05
 
 
@@ -33,6 +35,7 @@
     answered_s: float = 0.0
     unanswered_ends: list[float] = field(default_factory=list)  # when a connection ended without an answer
     is_written: bool = False
+    withdrawn_s: float = math.inf  # when its client withdrew it
 
     @property
     def due_s(self) -> float:
@@ -74,6 +77,7 @@
         self.may_connect: Callable[[], bool] = lambda: True
         self.tasks: set[asyncio.Task[None]] = set()
         self.count = 0
+        self.withdrawals = random.Random(f"withdrawals {scenario.seed}")
 
     def spawn(self, coroutine) -> None:
         """Run a task until `stop`."""
@@ -164,6 +168,7 @@
                 request = connection.waiting.popleft()
                 request.answer, request.answered_s = line, time.monotonic()
                 self.notes.note(f"{request.ident} {request.kind} is answered {line}")
+                self._draw_withdrawal(request)
         connection.is_open = False
         connection.writer.close()
         now = time.monotonic()
@@ -176,6 +181,13 @@
         if again and (new := await self._connect()) is not None:
             await self._write(new, again)
 
+    def _draw_withdrawal(self, request: Request) -> None:
+        """Some clients withdraw an accepted message after a while; its endpoints are told at once."""
+        if not request.answer.startswith("+") or self.withdrawals.random() >= self.scenario.withdrawn_share:
+            return
+        request.withdrawn_s = time.monotonic() + self.withdrawals.uniform(*WITHDRAWN_AFTER_S)
+        self.notes.withdrawn_s[request.ident] = request.withdrawn_s
+
     async def stop(self) -> None:
         """End all connections."""
         for task in list(self.tasks):
--- a/tests/soaking/soak_judge.py
+++ b/tests/soaking/soak_judge.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from soak_clients import Request
-from soak_scenario import DRAIN_GRACE_US, KEY_WINDOW_US, MEMORY_MB, Scenario
+from soak_scenario import DRAIN_GRACE_US, KEY_WINDOW_US, MEMORY_MB, Mood, Scenario
 from soak_world import Call, Notes
 
 END_SLACK_S = 0.3  # behind a message's time, until which it is delivered or reported
@@ -67,6 +67,7 @@
             yield from self._unanswered(request, name)
         if request.answer.startswith("+"):
             yield from self._accepted(request, name)
+        yield from self._withdrawn(calls, name)
         if request.kind == "unsafe":
             if len(ran) > 1:
                 yield f"effects: {name} may have run {len(ran)} times"
@@ -105,11 +106,22 @@
                 due_s = ready_s + RESTART_SLACK_S + self.slack_s
         ends = [call.ended_s for call in self.calls[request.ident] if call.is_answered]
         ends += [notice.at_s for notice in self.notices[request.ident]]
+        if not ends and request.withdrawn_s <= due_s:
+            return  # nothing more is owed
         if not ends and due_s < self.course.ended_s:
             yield f"lost: {name} was accepted, and is neither delivered nor reported"
         elif ends and min(ends) > due_s:
             yield f"lost: {name} ends {min(ends) - due_s:.3f} s too late"
 
+    def _withdrawn(self, calls: list[Call], name: str) -> Iterator[str]:
+        """A message is called no more by a process that has been told that it is over."""
+        told = [call for call in calls if call.mood is Mood.GONE]
+        for earlier in told:
+            for later in calls:
+                if later.life == earlier.life and later.at_s > earlier.at_s:
+                    behind_s = later.at_s - earlier.at_s
+                    yield f"over: {name} is called {behind_s:.3f} s behind its 410"
+
     def _notices(self) -> Iterator[str]:
         """A notice is repeated only while the courier has read no answer to it."""
         seen = Counter((n.ident, n.life) for n in self.notes.notices if not n.is_answer_lost)
--- a/tests/soaking/soak_plants.py
+++ b/tests/soaking/soak_plants.py
@@ -10,8 +10,10 @@
 from madderbeam.host.host import Host
 from madderbeam.journal.journal import Journal, _do_nothing
 from madderbeam.policy.settings import MessageClass
+from madderbeam.transport.calls import Call
 from madderbeam.transport.clients import Reply
 from madderbeam.transport.discovery import Notices
+from madderbeam.transport.response_ledger import ResponseLedger
 
 WINDOW_ERROR_US = 1_000_000
 
@@ -75,6 +77,12 @@
     Notices.add = deferred  # type: ignore[method-assign]
 
 
+def doubtful_410_ignored() -> None:
+    """A 410 that may be a copy counts as a failed attempt, and requests go where one is to be expected."""
+    ResponseLedger.has_rested_from_gone = lambda ledger, now_s: True  # type: ignore[method-assign]
+    Call._may_be_over = lambda call, outcome: False  # type: ignore[method-assign]
+
+
 PLANTS: dict[str, Callable[[], None]] = {
     plant.__name__: plant
     for plant in (
@@ -83,6 +91,7 @@
         window_one_second_short,
         notice_twice,
         refusal_after_an_attempt,
+        doubtful_410_ignored,
     )
 }
 
--- a/tests/soaking/soak_scenario.py
+++ b/tests/soaking/soak_scenario.py
@@ -33,11 +33,12 @@
     HANG = "no answer"
     BROKEN = "an answer that breaks off"
     OVERLOADED_LATE = "503 after a while"
+    GONE = "410"
 
     @property
     def may_have_run(self) -> bool:
         """Whether the message may have taken effect."""
-        return self not in (Mood.FULL, Mood.OVERLOADED, Mood.OVERLOADED_LATE)
+        return self not in (Mood.FULL, Mood.OVERLOADED, Mood.OVERLOADED_LATE, Mood.GONE)
 
 
 DRAWN_MOODS = (Mood.FULL, Mood.OVERLOADED, Mood.ERROR, Mood.RESET, Mood.HANG, Mood.BROKEN)
@@ -85,6 +86,7 @@
     has_equal_responses: bool = False  # nothing tells one 200 of an endpoint from another
     copies: Copies | None = None  # of the responses of endpoints
     agent_copies: Copies | None = None  # of what discovery writes
+    withdrawn_share: float = 0.0  # of the messages: their clients withdraw them while they wait
 
     def settings(self) -> dict[str, object]:
         """The courier's settings."""
@@ -119,9 +121,16 @@
         moods=_moods(rng),
         events=tuple(sorted(_events(rng) + _later_events(seed), key=lambda event: event.at_s)),
         **_responses(seed),
+        withdrawn_share=_withdrawn_share(seed),
     )
 
 
+def _withdrawn_share(seed: int) -> float:
+    """Clients that withdraw messages in half of the runs, drawn apart like later events."""
+    rng = random.Random(f"soak withdrawn {seed}")
+    return rng.choice((0.0, 0.0, 0.1, 0.4))
+
+
 def _responses(seed: int) -> dict[str, Any]:
     """Copies in half of the runs, and equal responses in a quarter, drawn apart like later events."""
     rng = random.Random(f"soak copies {seed}")
--- a/tests/soaking/soak_world.py
+++ b/tests/soaking/soak_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import socket
 import struct
@@ -53,6 +54,7 @@
     calls: list[Call] = field(default_factory=list)
     notices: list[Notice] = field(default_factory=list)
     draining_since_s: dict[str, float] = field(default_factory=dict)  # when discovery had written it
+    withdrawn_s: dict[str, float] = field(default_factory=dict)  # when a message's client withdrew it
     log: list[str] = field(default_factory=list)
     started_s: float = field(default_factory=time.monotonic)
     life: int = 0
@@ -77,6 +79,8 @@
         while True:
             _, _, headers, body = await read_request(reader)
             mood = self.rng.choices(self.moods, self.weights)[0]
+            if self.notes.withdrawn_s.get(headers.get("x-request-id", ""), math.inf) <= time.monotonic():
+                mood = Mood.GONE
             ident, key = headers.get("x-request-id", ""), headers.get("idempotency-key", "")
             call = Call(self.uid, ident, key, body, time.monotonic(), mood, self.notes.life)
             self.notes.calls.append(call)
@@ -114,6 +118,8 @@
                 self._write(writer, answer(429, Retry_After=f"{call.wait_s:.3f}"))
             case Mood.DONE:
                 self._write(writer, answer(200) if self.has_equal_responses else self.success())
+            case Mood.GONE:
+                self._write(writer, answer(410))
             case mood:
                 self._write(writer, answer(int(mood.value)))
         call.is_answered = call.mood in (Mood.DONE, Mood.LATE)
--- a/tests/soaking/test_soak.py
+++ b/tests/soaking/test_soak.py
@@ -18,6 +18,7 @@
     moods: dict[Mood, float]
     events: tuple[Event, ...] = ()
     classes: tuple[str, ...] = CLASSES
+    withdrawn_share: float = 0.0
 
     def scenario(self) -> Scenario:
         """The run, crowded by nobody and with messages that outlast a restart."""
@@ -30,6 +31,7 @@
             events=self.events,
             classes=self.classes,
             life_ms=(3000, 4000),
+            withdrawn_share=self.withdrawn_share,
         )
 
 
@@ -42,6 +44,7 @@
     Planted("window_one_second_short", "window", FAILING, (), ("keyed",)),
     Planted("notice_twice", "notices", FAILING),
     Planted("refusal_after_an_attempt", "refused", FAILING, (), ("unsafe",)),
+    Planted("doubtful_410_ignored", "over", FAILING, (), ("safe", "keyed"), 0.8),
 ]
 
 
