Test of a long service: segments of messages are held against what is pending

Like open_keys it is checked exactly now, at every look: only messages that are pending or whose end is not written, and only segments begun since the message came. A planted leak that keeps one message number in the first segment is seen. The size of the map itself is judged as before.

--- a/tests/simulation/test_long_service.py
+++ b/tests/simulation/test_long_service.py
@@ -13,6 +13,7 @@
 from madderbeam.host.completions import Completions
 from madderbeam.host.endpoint_registry import MAX_REMEMBERED_IDS, EndpointRegistry
 from madderbeam.journal.expiring_set import ExpiringSet
+from madderbeam.journal.journal import Journal
 from madderbeam.policy.endpoint_list import EndpointList
 from madderbeam.simulation import books
 from madderbeam.simulation.runs import staged
@@ -49,7 +50,7 @@
 )
 BOUNDED = {"host.registry.ever": MAX_REMEMBERED_IDS}  # grows up to that many
 # Held against what is open at each look, which is stricter than by size: that is chance, as troubles are.
-EXACT = "host.journal.open_keys"
+EXACT = ("host.journal.open_keys", "host.journal.segments_by_message[]")
 SLACK = 6  # elements; and a fifth
 
 
@@ -62,14 +63,34 @@
     return Script(seed=5, couriers=2, dests=6, rate_per_s=rate, seconds=minutes * 60.0, faults=tuple(faults))
 
 
+class SegmentsOfMessages:
+    """Checks that a journal keeps only pending messages' segments, begun since the message came."""
+
+    def __init__(self):
+        self.oldest = {}  # by message number: the oldest segment that may have a record of it
+        self.newest = 0  # segment at the last look
+
+    def stale(self, journal):
+        """Return the messages that are over, or have older segments."""
+        kept = journal.segments_by_message
+        self.oldest = {number: self.oldest.get(number, self.newest) for number in kept}
+        self.newest = journal.files.newest
+        owed = journal.pending.keys() | journal.unwritten_completions.keys()
+        return [n for n, places in kept.items() if n not in owed or min(places) < self.oldest[n]]
+
+
 def grown(script):
     """The containers that had more elements in the last quarter than in the second, with both figures."""
     world, looks, quarter = staged(script, audited=False), [{} for _ in range(4)], script.seconds / 4 * 1e6
 
+    found, checks = {}, [SegmentsOfMessages() for _ in world.machines]
+
     def look():
         part = looks[min(3, int(world.now_us / quarter))]
-        for machine in world.machines:
+        for machine, check in zip(world.machines, checks, strict=True):
             journal = machine.host.journal
+            if stale := check.stale(journal):
+                found["segments of messages"] = (0, len(stale))
             assert set(journal.open_keys) == {
                 m.key for m in journal.pending.values() if m.key and not m.status
             }
@@ -80,10 +101,9 @@
     world.after(10_000_000, look)
     report = world.play()
     assert report.violation is None, report.line
-    found = {}
     for path, last in looks[3].items():
         second = looks[1].get(path, 0)
-        if last > 1.2 * second + SLACK and last > BOUNDED.get(path, 0) and path != EXACT:
+        if last > 1.2 * second + SLACK and last > BOUNDED.get(path, 0) and path not in EXACT:
             found[path] = (second, last)
     return found, report
 
@@ -99,6 +119,16 @@
     assert report.messages > MINUTES * 60 * 4 and report.delivered > 0.8 * report.messages
 
 
+def keep_a_message_in_the_first_segment(patch):
+    track = Journal._track_segment
+
+    def keep(self, number, segment):
+        track(self, number, segment)
+        self.segments_by_message[number].add(1)
+
+    patch.setattr(Journal, "_track_segment", keep)
+
+
 LEAKS = {
     "numbers of attempts": lambda p: p.setattr(Attempts, "forget", lambda self, number: None),
     "guards": lambda p: p.setattr(Completions, "cancel_deadline_timer", lambda self, number: None),
@@ -108,6 +138,7 @@
     "endpoints of the decision module": lambda p: p.setattr(
         EndpointList, "forget_if_gone", lambda self, endpoint: None
     ),
+    "segments of messages": keep_a_message_in_the_first_segment,
     "clients that have left": lambda p: p.setattr(ClientServer, "left", lambda self, client: None),
 }
 
