Tests: processes of an upgrade listen at a loopback address of their own

A port that tests/test_upgrade.py freed before use was taken once by an outgoing connection, in a whole run on arm64 beside load. Each test has an address of its own now, as the soak's runs have: the function that made theirs serves both.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -22,6 +23,8 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 LIMIT = 15.0  # no wait of a test lasts longer
+FIRST_NET, NETS, NET_SIZE = 220, 30, 250  # of the loopback addresses of tests
+_hosts = itertools.count()
 
 
 def settings(**changes):
@@ -82,6 +85,19 @@
     return raw
 
 
+def own_host():
+    """A loopback address that nobody else uses: no outgoing connection takes a port that is freed there."""
+    pid = os.getpid()
+    return f"127.{FIRST_NET + pid // NET_SIZE % NETS}.{pid % NET_SIZE}.{1 + next(_hosts) % NET_SIZE}"
+
+
+def free_address(host):
+    """An address there at which nobody listens."""
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return host, int(sock.getsockname()[1])
+
+
 async def bounded(awaitable):
     return await asyncio.wait_for(awaitable, LIMIT)
 
@@ -302,9 +318,9 @@
     return int(text.split()[1]), text.partition("\r\n\r\n")[2]
 
 
-async def figures(port):
+async def figures(port, host="127.0.0.1"):
     """All figures, by name."""
-    _, text = await call(port, "GET", "/metrics")
+    _, text = await call(port, "GET", "/metrics", host=host)
     return {name: int(value) for name, value in (line.split("=") for line in text.splitlines())}
 
 
--- a/tests/soaking/soak_run.py
+++ b/tests/soaking/soak_run.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import os
 import random
 import signal
@@ -14,7 +13,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from loopback import ROOT, Client, Fleet, call
+from loopback import ROOT, Client, Fleet, call, free_address, own_host
 from soak_clients import Clients
 from soak_copies import Copier
 from soak_judge import Course, Judge
@@ -39,9 +38,7 @@
 READY = 200  # status of GET /ready
 STEPS_IN_TURN = (Step.RESTART, Step.KILL, Step.UPGRADE)  # of the courier's process, one behind the other
 START_MAX_S = 20.0
-FIRST_NET, NETS, NET_SIZE = 220, 30, 250  # of the loopback addresses of runs
 PLANTS = Path(__file__).with_name("soak_plants.py")
-_runs = itertools.count()
 
 
 @dataclass(frozen=True)
@@ -79,7 +76,7 @@
         self.copier = Copier(scenario.copies, f"copies {scenario.seed}")
         self.discovery = NotingDiscovery(self.notes)
         self.discovery.copier = Copier(scenario.agent_copies, f"agent copies {scenario.seed}")
-        self.address = _own_address()
+        self.address = free_address(own_host())
         self.is_ending = False
         self.connects_until_s = float("inf")
         self.crowd: list[socket.socket] = []
@@ -97,7 +94,7 @@
     async def _add_late_endpoint(self, dest: int, name: str, seconds: float) -> None:
         """List an endpoint at once, and have it listen after a while."""
         uid = f"{dest}-{name}"
-        address = _free_address("127.0.0.1")
+        address = free_address("127.0.0.1")
         self.notes.note(f"{uid} is listed and does not listen")
         self.discovery.target(uid, address[1], dest)
         self.discovery._push(self.discovery.whole())
@@ -111,7 +108,7 @@
 
     async def _spawn(self) -> asyncio.subprocess.Process:
         """Begin a process of the courier, with a second address of its own."""
-        self.control = _free_address(self.address[0])
+        self.control = free_address(self.address[0])
         env = {
             **os.environ,
             **self.env(),
@@ -324,20 +321,6 @@
         )
 
 
-def _own_address() -> tuple[str, int]:
-    """A loopback address that only this run uses: no outgoing connection takes its port between two lives."""
-    pid = os.getpid()
-    return _free_address(
-        f"127.{FIRST_NET + pid // NET_SIZE % NETS}.{pid % NET_SIZE}.{1 + next(_runs) % NET_SIZE}"
-    )
-
-
-def _free_address(host: str) -> tuple[str, int]:
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return host, int(sock.getsockname()[1])
-
-
 def play(seed: int, folder: Path, plant: str = "") -> Outcome:
     """Play the run of a seed; its log and the order of events are left in the folder."""
     return play_scenario(draw(seed), folder, plant)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -9,8 +9,9 @@
 import sys
 from dataclasses import replace
 
+import loopback
 import pytest
-from loopback import ROOT, Client, Fleet, answer, bounded, call, courier, figures, settings
+from loopback import ROOT, Client, Fleet, answer, bounded, courier, free_address, own_host, settings
 
 from madderbeam.config.platform import load
 from madderbeam.host import object_graph, process_upgrade, state_transfer
@@ -24,12 +25,25 @@
 PATIENT = [{**c, "goalTimeUs": 60_000_000, "deadlineUs": 90_000_000} for c in settings()["classes"]]
 
 
+async def call(control, method, path, body=b""):
+    """One call at a second address."""
+    host, port = control
+    return await loopback.call(port, method, path, body, host)
+
+
+async def figures(control):
+    """All figures at a second address."""
+    host, port = control
+    return await loopback.figures(port, host)
+
+
 class Processes:
     """Couriers as processes of their own, in one folder, with one listening socket that all inherit."""
 
     def __init__(self, fleet, held=True):
         self.fleet, self.all = fleet, []
-        self.sock = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.host = own_host()
+        self.sock = socket.create_server((self.host, 0), backlog=128)
         self.port = self.sock.getsockname()[1]
         self.held = held
         if not held:
@@ -47,13 +61,12 @@
 
     async def start(self, ready=True, **more):
         """Start one; with `ready` it has said that it is."""
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            control = free.getsockname()[1]
+        control = free_address(self.host)
         env = {
             **os.environ,
             **self.fleet.env(),
-            "LB_LISTEN": f"127.0.0.1:{self.port}",
-            "LB_CONTROL": f"127.0.0.1:{control}",
+            "LB_LISTEN": f"{self.host}:{self.port}",
+            "LB_CONTROL": "{}:{}".format(*control),
             **more,
         }
         fds = ()
@@ -77,14 +90,14 @@
         return process
 
     @staticmethod
-    async def asked(port):
+    async def asked(control):
         try:
-            return (await call(port, "GET", "/ready"))[0]
+            return (await call(control, "GET", "/ready"))[0]
         except ConnectionError:
             return 0
 
     async def client(self):
-        return await Client().open(self.port)
+        return await Client().open(self.port, self.host)
 
 
 def upgraded(test, held=True, **changed):
