Calls: what a response proves is a module of its own, response_outcomes.py

The planted faults that patch them name the new places; one was not found while its patch named the old one.

--- a/madderbeam/host/attempt_log.py
+++ b/madderbeam/host/attempt_log.py
@@ -5,7 +5,8 @@
 import logging
 
 from madderbeam.policy.events import AttemptResult
-from madderbeam.transport.calls import Item, Outcome
+from madderbeam.transport.calls import Item
+from madderbeam.transport.response_outcomes import Outcome
 
 log = logging.getLogger(__name__)
 
--- a/madderbeam/host/attempts.py
+++ b/madderbeam/host/attempts.py
@@ -17,7 +17,8 @@
 from madderbeam.policy.actions import Send
 from madderbeam.policy.events import AttemptEnded, AttemptResult, Event, HealthCheckEnded, MessageWithdrawn
 from madderbeam.policy.settings import Idempotency, Settings
-from madderbeam.transport.calls import Calls, Item, Outcome
+from madderbeam.transport.calls import Calls, Item
+from madderbeam.transport.response_outcomes import Outcome
 
 NEVER_EXECUTED = (AttemptResult.OVERLOADED, AttemptResult.CONNECT_FAILED, AttemptResult.NOT_SENT)
 log = logging.getLogger(__name__)
--- a/madderbeam/host/changes/runtime_state.py
+++ b/madderbeam/host/changes/runtime_state.py
@@ -8,7 +8,8 @@
 from madderbeam.host.host import Host
 from madderbeam.host.metrics import DECLINED
 from madderbeam.policy.events import AttemptResult, EndpointState
-from madderbeam.transport.calls import Item, Outcome
+from madderbeam.transport.calls import Item
+from madderbeam.transport.response_outcomes import Outcome
 
 FAILED_RESULTS = (
     AttemptResult.ERROR,
--- a/madderbeam/host/federation/site_sharing.py
+++ b/madderbeam/host/federation/site_sharing.py
@@ -37,7 +37,8 @@
     SetProbing,
     SiteMembers,
 )
-from madderbeam.transport.calls import Item, Outcome
+from madderbeam.transport.calls import Item
+from madderbeam.transport.response_outcomes import Outcome
 
 CHECK_S = 0.25  # interval of the checks of the engine's state
 FAILURE_CHECK_S = 0.005  # delay of the check after a failed call
--- a/madderbeam/transport/calls.py
+++ b/madderbeam/transport/calls.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import base64
-import contextlib
 import functools
 import json
 import logging
@@ -26,6 +25,16 @@
     head_checksum,
 )
 from madderbeam.transport.response_ledger import UNSOLICITED_LOGGED_BYTES, ResponseCounters
+from madderbeam.transport.response_outcomes import (
+    GONE,
+    KNOWN_STATUSES,
+    Outcome,
+    bundle_outcomes,
+    load_report,
+    retry_after_us,
+    single_outcome,
+    without_proof,
+)
 
 IDLE_SHARE = 0.75  # idle connections are closed at this share of the time at which the endpoint would
 IDLE_EACH = 8  # idle connections kept to one endpoint
@@ -33,17 +42,6 @@
 MAX_ANSWER = 64 * 1024  # bytes of its body, as the protocol has it
 SLOW_S = 0.02  # from a call's choice to its first byte; a wait that was told binds 100 ms later
 COPIES_REMEMBERED_S = 30.0  # behind the last copy seen at an endpoint
-MAX_WAIT_S = 120.0  # a told wait over this is none that a destination would tell
-NEVER_EXECUTED = (AttemptResult.OVERLOADED, AttemptResult.NOT_SENT)  # as a response may say
-GONE = 410  # the message is over: withdrawn by its client, or out of time
-ANSWERS = (200, 400, GONE, 413, 429, 500, 503, 504)  # that PROTOCOL names
-STATES = {
-    "done": AttemptResult.OK,
-    "failed": AttemptResult.ERROR,
-    "busy": AttemptResult.OVERLOADED,
-    "void": AttemptResult.NOT_SENT,
-    "used_up": AttemptResult.NOT_SENT,
-}
 log = logging.getLogger(__name__)
 
 
@@ -64,19 +62,6 @@
     ended: bool = False
 
 
-@dataclass(frozen=True)
-class Outcome:
-    """How an attempt ended."""
-
-    result: AttemptResult
-    over: bool = False  # nothing more is owed for the message
-    wait_us: int = 0  # a told wait
-    spoilt: bool = False  # an answer came, but it could not be read
-    may_have_run: bool = False  # whatever the result says: the response may be a copy of an earlier one
-    may_be_over: bool = False  # a response says so that proves nothing: neither send again nor keep silent
-    status: int = field(default=0, compare=False)  # of the response, 0 if none could be read; for the log
-
-
 @dataclass
 class Hooks:
     """What the calls ask of and tell the host."""
@@ -124,63 +109,6 @@
         return now_s - self.copy_seen_at_s < COPIES_REMEMBERED_S
 
 
-def single_outcome(status: int, headers: dict[str, str]) -> Outcome:
-    """PROTOCOL's table of answers."""
-    wait = told_wait(headers)
-    if status == 200:
-        return Outcome(AttemptResult.OK, over=True, wait_us=wait)
-    if status in (429, 503):
-        no_slot = headers.get("slots-taken") == "1"
-        return Outcome(AttemptResult.NOT_SENT if no_slot else AttemptResult.OVERLOADED, wait_us=wait)
-    if status == GONE:
-        return Outcome(AttemptResult.NOT_SENT, over=True, wait_us=wait)
-    if status in (400, 413, 504):  # not sent
-        return Outcome(AttemptResult.NOT_SENT, wait_us=wait)
-    return Outcome(
-        AttemptResult.ERROR, wait_us=wait
-    )  # 500, or what the protocol does not name: it may have run
-
-
-def told_wait(headers: dict[str, str]) -> int:
-    """Microseconds, 0 if none was told; of several the longest binds."""
-    longest = 0.0
-    for text in headers.get("retry-after", "").split(","):
-        with contextlib.suppress(ValueError):
-            seconds = float(text)
-            longest = max(longest, seconds if 0 < seconds <= MAX_WAIT_S else 0.0)  # nor for nan
-    return int(longest * 1e6)
-
-
-def told_load(headers: dict[str, str]) -> dict[str, float]:
-    """The report that an answer carries, by its values' names; {} if it can't be read."""
-    try:
-        pairs = [pair.split("=", 1) for pair in headers.get("x-server-load", "").split(",") if pair]
-        load = {name.strip(): float(value) for name, value in pairs}
-    except ValueError:
-        return {}
-    return load if all(map(math.isfinite, load.values())) else {}
-
-
-def bundle_outcomes(body: bytes, wait_us: int) -> dict[str, Outcome]:
-    """Each one's end in a bundle's answer; none if it can't be read or names one twice."""
-    try:
-        rows = json.loads(body)
-        states = {str(row["id"]): STATES[row["state"]] for row in rows}
-        voids = {str(row["id"]) for row in rows if row["state"] in ("done", "void")}
-        if len(states) != len(rows):
-            return {}
-    except (ValueError, KeyError, TypeError, RecursionError):
-        return {}
-    return {i: Outcome(r, i in voids, wait_us) for i, r in states.items()}
-
-
-def without_proof(outcome: Outcome) -> Outcome:
-    """What the response proves if it may be a copy of an earlier one: the call may have run."""
-    if outcome.over:
-        return Outcome(AttemptResult.ERROR, wait_us=outcome.wait_us, spoilt=True)
-    return replace(outcome, may_have_run=outcome.result in NEVER_EXECUTED)
-
-
 class Call(Exchange):
     """One call in flight, until each of its items has ended."""
 
@@ -274,12 +202,12 @@
         self.status, self.headers = status, headers
         self.checksum = head_checksum(status, headers)
         self._heed_wait(headers)
-        if load := told_load(headers):
+        if load := load_report(headers):
             self.calls.hooks.told_load(self.endpoint, load)
 
     def _heed_wait(self, headers: dict[str, str]) -> None:
         """A wait binds whichever request it was told to."""
-        if wait := told_wait(headers):
+        if wait := retry_after_us(headers):
             self.calls.hooks.told_wait(self.endpoint, wait)
 
     def data(self, data: bytes) -> None:
@@ -308,7 +236,7 @@
             self.calls.distrust(self)
         elif self.is_success and not self.is_delivered:
             self._deliver()
-        if self.status not in ANSWERS and self.connection is not None:
+        if self.status not in KNOWN_STATUSES and self.connection is not None:
             self.connection.abort()  # perhaps an unasked 408: the next call would get the answer of this one
         if self.path:
             self.calls.probe_ended(self, self._probe_result())
@@ -316,7 +244,7 @@
             self._end_bundle()
         elif noise:
             self.calls.strange(self.endpoint, self, "is followed by bytes that are no response")
-            self.finish_all(Outcome(AttemptResult.ERROR, wait_us=told_wait(self.headers), spoilt=True))
+            self.finish_all(Outcome(AttemptResult.ERROR, wait_us=retry_after_us(self.headers), spoilt=True))
         elif self.open:
             self.finish_all(self._outcome())
         self.calls.release(self)
@@ -365,7 +293,7 @@
 
     def _end_bundle(self) -> None:
         """The response names each message, and one that it leaves out may have run."""
-        wait = told_wait(self.headers)
+        wait = retry_after_us(self.headers)
         ends = bundle_outcomes(bytes(self.body), wait)
         if any(item.id not in ends for item in self.items):
             self.calls.counters.mismatched += bool(ends)
@@ -386,7 +314,7 @@
         self.calls.strange(self.endpoint, self, "is malformed or incomplete")
         if self.path:
             self.calls.probe_ended(self, AttemptResult.ERROR)
-        self.finish_all(Outcome(AttemptResult.ERROR, wait_us=told_wait(self.headers), spoilt=True))
+        self.finish_all(Outcome(AttemptResult.ERROR, wait_us=retry_after_us(self.headers), spoilt=True))
         self.calls.release(self)
 
     def drop(self) -> None:
@@ -968,7 +896,7 @@
             self._report_unsolicited(connection)
             if pool := self.pools.get(endpoint):
                 pool.copy_seen_at_s = self.loop.time()
-            if wait := told_wait(headers_of(connection.unsolicited)):
+            if wait := retry_after_us(headers_of(connection.unsolicited)):
                 self.hooks.told_wait(endpoint, wait)
 
     def _closed(self, endpoint: int, pool: Pool, connection: Connection) -> None:
--- a/tests/shared/site_net.py
+++ b/tests/shared/site_net.py
@@ -43,7 +43,8 @@
 from madderbeam.policy.settings import MessageClass, Settings
 from madderbeam.shared.partner_outages import PartnerOutages
 from madderbeam.shared.values import ApplyFinding, FindingExpired, SetProbing, SiteMembers
-from madderbeam.transport.calls import Item, Outcome
+from madderbeam.transport.calls import Item
+from madderbeam.transport.response_outcomes import Outcome
 
 LATENCY_US, REFUSED_US = (5_000, 25_000), (500, 3_000)
 CLASS = MessageClass("safe", latency_objective_us=S, deadline_us=20 * S)
--- a/tests/simulation/planted.py
+++ b/tests/simulation/planted.py
@@ -20,7 +20,7 @@
 from madderbeam.policy.events import AttemptResult, EndpointState
 from madderbeam.quota import admission
 from madderbeam.routing import failure_tracker, pool
-from madderbeam.transport import calls, clients, control, discovery, local
+from madderbeam.transport import calls, clients, control, discovery, local, response_outcomes
 from madderbeam.transport.kafka import front, outcomes, partner
 
 
@@ -55,7 +55,8 @@
 
 @bug(2, "wait")
 def ignores_a_told_wait(patch):
-    patch.setattr(calls, "told_wait", lambda headers: 0)
+    for module in (calls, response_outcomes):
+        patch.setattr(module, "retry_after_us", lambda headers: 0)
 
 
 @bug(4, "wait", "drain")
@@ -600,7 +601,8 @@
     def first_come(body, wait_us):
         rows = calls.json.loads(body)
         states = {row["id"]: row["state"] for row in rows}
-        return {i: calls.Outcome(calls.STATES[s], s in ("done", "void"), wait_us) for i, s in states.items()}
+        results = response_outcomes.BUNDLE_STATES
+        return {i: calls.Outcome(results[s], s in ("done", "void"), wait_us) for i, s in states.items()}
 
     patch.setattr(calls, "bundle_outcomes", first_come)
 
--- a/tests/test_told_limits.py
+++ b/tests/test_told_limits.py
@@ -20,7 +20,7 @@
     ListUpdateKind,
 )
 from madderbeam.policy.settings import DestinationKind, MessageClass, Settings
-from madderbeam.transport.calls import told_load
+from madderbeam.transport.response_outcomes import load_report
 
 FIELDS = ("x0", "x1")
 REPORTS = {"how": "piggyback", "fields": list(FIELDS)}
@@ -114,7 +114,7 @@
             ]
         }
     )
-    assert listing.apply_load_report(1, told_load({"x-server-load": text})) == []
+    assert listing.apply_load_report(1, load_report({"x-server-load": text})) == []
     assert listing.apply_load_report(99, {"x1": 5.0}) == []  # one that has left the list
 
 
