--- a/tests/simulation/test_copies.py
+++ b/tests/simulation/test_copies.py
@@ -35,7 +35,7 @@
 def test_a_courier_that_trusts_each_response_is_found(monkeypatch):
     monkeypatch.setattr(ResponseLedger, "doubts_success", lambda *_: False)
     monkeypatch.setattr(ResponseLedger, "has_rested", lambda *_: True)
-    monkeypatch.setattr(ResponseLedger, "has_rested_from_successes", lambda *_: True)
+    monkeypatch.setattr(ResponseLedger, "has_rested_from_completions", lambda *_: True)
     monkeypatch.setattr(ResponseLedger, "origin", lambda *_: Origin.OWN)
     found = {report.violation.rule for report in map(play, map(with_copies, SEEDS)) if report.violation}
     assert found & {"lost", "refusal", "repeat", "overlap"}
