--- a/review/standins_2/kit.py
+++ b/review/standins_2/kit.py
@@ -138,7 +138,7 @@
         after_s, status, more = self.answer(ident, len(self.calls))
         self.calls.append((time.time(), ident, body, status))
         ran = status in (0, 200, 500)
-        self.record(f"{self.name}: call {ident} body {body!r} {'has run' if ran else 'was turned away'}")
+        self.record(f"{self.name}: call {ident} body {body[:20]!r} {'has run' if ran else 'was turned away'}")
         time.sleep(after_s)
         if not status:
             time.sleep(100)  # it hangs: no answer on this connection
@@ -313,6 +313,12 @@
             self.process.wait(10)
 
 
+def request(ident: str, fields: str, body: bytes, order: str = "0000000000000000") -> bytes:
+    """Return a MSG.PUT as it goes over the wire."""
+    args = [b"MSG.PUT", order.encode(), ident.encode(), fields.encode(), body]
+    return b"*%d\r\n" % len(args) + b"".join(b"$%d\r\n%s\r\n" % (len(a), a) for a in args)
+
+
 class Client:
     """A client on RESP2, with one connection."""
 
@@ -324,8 +330,7 @@
 
     def put(self, ident: str, fields: str, body: bytes, order: str = "0000000000000000") -> str:
         """Hand a message in; return the first line of the answer, "" if there is none in 2 s."""
-        args = [b"MSG.PUT", order.encode(), ident.encode(), fields.encode(), body]
-        data = b"*%d\r\n" % len(args) + b"".join(b"$%d\r\n%s\r\n" % (len(a), a) for a in args)
+        data = request(ident, fields, body, order)
         found = b""
         with contextlib.suppress(OSError):
             self.sock.sendall(data)
@@ -335,7 +340,7 @@
                     break
                 found += more
         text = found.decode("latin-1").strip()
-        self.record(f"client: {ident} {fields} {body!r} -> {text or 'no answer'}")
+        self.record(f"client: {ident} {fields} {body[:20]!r} -> {text or 'no answer'}")
         return text
 
 
