--- a/review/standins_2/sidecar.py
+++ b/review/standins_2/sidecar.py
@@ -16,6 +16,8 @@
     state: pathlib.Path,
     settings: dict[str, Any],
     targets: list[dict[str, Any]],
+    feed_mb: float = 4,
+    disk_mb: float = 3,
     **more: Any,
 ) -> pathlib.Path:
     """Write the courier's file and its partner list; return the courier's file."""
@@ -28,7 +30,7 @@
         "settings": settings,
         "limits": {
             "sockets": 256,
-            "disk_mb": 3,
+            "disk_mb": disk_mb,
             "clients": 32,
             "client_idle_ms": 60000,
             "journal_sync": False,
@@ -37,7 +39,7 @@
             "state": str(state),
             "partners": f"{name}.partners.json",
             "finals": str(folder / f"{name}-finals.jsonl"),
-            "feed_mb": 4,
+            "feed_mb": feed_mb,
         },
         **more,
     }
