--- a/review/standins_2/up.py
+++ b/review/standins_2/up.py
@@ -1,7 +1,7 @@
 """Runs `madderbeam up` behind its checks: they need pydantic, which the platform's build does not install.
 
-The argument is a folder of rendered files with their manifest. What runs is madderbeam/sidecar/up.py as it is;
-the modules that check and render an estate have stand-ins for the few names that it imports.
+The argument is a folder of rendered files with their manifest. What runs is madderbeam/sidecar/up.py as it
+is; the modules that check and render an estate have stand-ins for the few names that it imports.
 """
 
 from __future__ import annotations
