--- a/review/standins_2/kit.py
+++ b/review/standins_2/kit.py
@@ -21,6 +21,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 HOST = "127.0.0.1"
+LONGEST_S = 116  # a case runs for 120 s at most
 
 
 class CouldNotRunError(Exception):
@@ -352,6 +353,16 @@
     record = Record(folder)
     record(f"TROUBLE={int(TROUBLE)}")
     started: list[Any] = []
+
+    def too_long() -> None:
+        record(f"the case could not run: it took over {LONGEST_S} s")
+        for one in started:
+            one.end()
+        os._exit(COULD_NOT_RUN)
+
+    limit = threading.Timer(LONGEST_S, too_long)
+    limit.daemon = True
+    limit.start()
     with tempfile.TemporaryDirectory() as temporary:
         try:
             held = case(record, pathlib.Path(temporary), started)
@@ -366,6 +377,7 @@
         finally:
             for one in started:
                 one.end()
+            limit.cancel()
             for log in sorted(pathlib.Path(temporary).glob("*.log")):
                 for line in log.read_text("utf-8", "replace").splitlines()[-60:]:
                     record.file.write(f"log {log.stem}: {line}\n")
